Hold back requests meant for an engine's former life

Change: each attempt names the engine life it is meant for; a stand-in engine in another life answers 412 with its own before anything starts, the sidecar believes that at once and says "not run"; a late load report does not bring the former life back. A server error no longer raises the cap. bench failures ends with a line that names the promises that broke.

Ruled out: streams that the engine ends only after the sidecar has seen them end (the guest leaves first).

--- a/crates/filberttrail-bench/src/failures/report.rs
+++ b/crates/filberttrail-bench/src/failures/report.rs
@@ -79,6 +79,16 @@
         self.promises.push(promise);
     }
 
+    /// Says in one line whether every promise held, or which ones did not.
+    pub fn verdict(&self) -> String {
+        let broken = self.promises.iter().filter(|promise| promise.violations > 0);
+        let broken: Vec<&str> = broken.map(|promise| promise.promise.as_str()).collect();
+        match broken.is_empty() {
+            true => format!("seed {}: all {} promises held", self.seed, self.promises.len()),
+            false => format!("seed {}: broken: {}", self.seed, broken.join("; ")),
+        }
+    }
+
     /// Counts all violations.
     pub fn violations(&self) -> u64 {
         self.promises.iter().map(|promise| promise.violations).sum()
--- a/crates/filberttrail-bench/tests/failures.rs
+++ b/crates/filberttrail-bench/tests/failures.rs
@@ -2,7 +2,7 @@
 //!
 //! Recovery times are measured by `bench failures` and not judged here.
 
-use filberttrail_bench::failures::{Plan, Report, run};
+use filberttrail_bench::failures::{Plan, Promise, Report, run};
 use filberttrail_kernel::{Mechanism, Without};
 
 const SEED: u64 = 1;
@@ -22,6 +22,19 @@
     assert!(without.violations() > 0, "the script cannot fail: {without:#?}");
 }
 
+#[test]
+fn the_verdict_names_each_broken_promise() {
+    let mut report = Report::new(SEED);
+    let mut held = Promise::new("answers are whole", Mechanism::Assembly);
+    held.case(None);
+    report.add(held);
+    assert_eq!(report.verdict(), "seed 1: all 1 promises held");
+    let mut broken = Promise::new("refusals are true", Mechanism::Ledger);
+    broken.case(Some("request 7 ran".into()));
+    report.add(broken);
+    assert_eq!(report.verdict(), "seed 1: broken: refusals are true");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 1)]
 async fn one_map_a_step() {
     check(Mechanism::Barrier).await;
--- a/crates/filberttrail-cli/src/commands/measure/failures.rs
+++ b/crates/filberttrail-cli/src/commands/measure/failures.rs
@@ -65,4 +65,5 @@
             println!("  unknown outcomes: {}", promise.unknown);
         }
     }
+    println!("{}", report.verdict());
 }
--- a/crates/filberttrail-kernel/src/id.rs
+++ b/crates/filberttrail-kernel/src/id.rs
@@ -5,6 +5,9 @@
 
 /// One life of a process, or of an engine: another value after each restart.
 pub type Incarnation = u64;
+/// The request header that names the engine life an attempt is meant for. An engine that is in another
+/// life refuses with 412 before it starts, and names its own life in the same header.
+pub const ENGINE_LIFE: &str = "filberttrail-engine-life";
 /// Counts the configurations accepted by the platform; it only rises.
 pub type Generation = u64;
 /// The version that the platform gave an object at its last write.
--- a/crates/filberttrail-sidecar/src/attempt.rs
+++ b/crates/filberttrail-sidecar/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::tape::Tape;
 use bytes::Bytes;
 use filberttrail_kernel::Mechanism;
-use filberttrail_kernel::id::Attempt;
+use filberttrail_kernel::id::{Attempt, ENGINE_LIFE, Incarnation};
 use filberttrail_protocol::frame::{Failure, Head, Key};
 use filberttrail_protocol::{Cause, Offer, Ran};
 use filberttrail_state::claim::{Answer, Operation, Outcome};
@@ -76,7 +76,7 @@
     let (head, body) = response.into_parts();
     tape.put_head(head_of(&head));
     let whole = copy(gate, body, tape).await;
-    gate.finish(attempt, whole.is_ok());
+    gate.finish(attempt, whole.is_ok() && bears_more(&head));
     whole
 }
 
@@ -118,7 +118,7 @@
             return Err(unknown(Cause::BrokenOff));
         }
     };
-    gate.finish(attempt, true);
+    gate.finish(attempt, bears_more(&head));
     let head = head_of(&head);
     record(gate, &object, &key, attempt, &head, &body).await;
     tape.put_head(head);
@@ -208,7 +208,7 @@
     attempt: Attempt,
     offer: &Offer,
 ) -> Result<hyper::Response<Incoming>, Failure> {
-    let request = match build_request(offer) {
+    let request = match build_request(offer, gate.engine()) {
         Ok(request) => request,
         Err(failure) => {
             gate.refuse(attempt);
@@ -221,7 +221,15 @@
     }
     let sending = gate.client.send(gate.settings.upstream, request);
     match tokio::time::timeout(gate.settings.head_wait, sending).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => match refused_life(&response) {
+            Some(engine) => {
+                log::info!("{} has turned cold: its life is {engine}", gate.settings.name);
+                gate.observe(engine);
+                gate.refuse(attempt);
+                Err(not_run(Cause::Misdirected))
+            }
+            None => Ok(response),
+        },
         Ok(Err(failure)) if !failure.sent => {
             log::warn!("{} cannot be reached: {failure}", gate.settings.name);
             gate.refuse(attempt);
@@ -239,11 +247,30 @@
     }
 }
 
-fn build_request(offer: &Offer) -> Result<hyper::Request<Body>, Failure> {
+/// Tells whether an answer is evidence that the upstream bears its load: an error of its own is not.
+fn bears_more(head: &hyper::http::response::Parts) -> bool {
+    !head.status.is_server_error()
+}
+
+/// Returns the engine's life from its refusal of an attempt that was meant for another one.
+fn refused_life(response: &hyper::Response<Incoming>) -> Option<Incarnation> {
+    if response.status() != hyper::StatusCode::PRECONDITION_FAILED {
+        return None;
+    }
+    response.headers().get(ENGINE_LIFE)?.to_str().ok()?.parse().ok()
+}
+
+fn build_request(
+    offer: &Offer,
+    engine: Option<Incarnation>,
+) -> Result<hyper::Request<Body>, Failure> {
     let mut request = hyper::Request::builder().method(offer.method.as_str()).uri(&offer.path);
     for (name, value) in &offer.headers {
         request = request.header(name, value.as_ref());
     }
+    if let Some(engine) = engine {
+        request = request.header(ENGINE_LIFE, engine);
+    }
     // The entry checks requests; one that cannot be built was made by another release.
     request.body(Body::new(offer.body.clone())).map_err(|_| not_run(Cause::Misdirected))
 }
--- a/crates/filberttrail-sidecar/src/gate.rs
+++ b/crates/filberttrail-sidecar/src/gate.rs
@@ -202,6 +202,11 @@
         self.state().cap.observe(engine);
     }
 
+    /// Returns the engine's life, once known; a service has none.
+    pub fn engine(&self) -> Option<Incarnation> {
+        self.state().cap.incarnation()
+    }
+
     /// Takes over limits from the configuration.
     pub fn configure(&self, view: &View) {
         if let Some(upstream) = view.upstream(&self.settings.name) {
--- a/crates/filberttrail-stand-in/src/engine/batch.rs
+++ b/crates/filberttrail-stand-in/src/engine/batch.rs
@@ -2,6 +2,7 @@
 
 use super::state::{Shared, Ticket};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Ticks while there is work; each tick gives every running request one token.
 pub async fn run_steps(shared: Shared) {
@@ -28,18 +29,40 @@
     pub from: u64,
     /// Words of the whole answer.
     pub words: u64,
-    /// Higher goes first.
-    pub priority: u32,
 }
 
-struct Guard<'a> {
-    shared: &'a Shared,
+/// A request that the engine has taken in; it leaves when this is dropped.
+pub struct Guest {
+    shared: Shared,
+    lives: watch::Receiver<u64>,
+    ticks: watch::Receiver<u64>,
+    /// Words of the prompt that must be computed.
+    compute: u64,
     ticket: Ticket,
     placed: bool,
     whole: bool,
 }
 
-impl Drop for Guard<'_> {
+impl Guest {
+    /// Takes a request in; the higher `priority` gets its place first. One that is meant for another
+    /// life is refused with the engine's own.
+    pub fn new(
+        shared: Shared,
+        prompt: &str,
+        priority: u32,
+        life: Option<u64>,
+    ) -> Result<Self, u64> {
+        let mut lives = shared.lives.subscribe();
+        let mut ticks = shared.tick.subscribe();
+        lives.mark_unchanged();
+        ticks.mark_unchanged();
+        let compute = shared.begin(prompt, life)?;
+        let ticket = shared.queue(priority);
+        Ok(Self { shared, lives, ticks, compute, ticket, placed: false, whole: false })
+    }
+}
+
+impl Drop for Guest {
     fn drop(&mut self) {
         self.shared.give_up(self.ticket, self.placed);
         self.shared.end(self.whole);
@@ -47,27 +70,20 @@
 }
 
 /// Generates words step by step; tells whether the answer became whole.
-pub async fn generate<S, F>(shared: &Shared, prompt: &str, work: Work, send: S) -> bool
+pub async fn generate<S, F>(mut guest: Guest, work: Work, send: S) -> bool
 where
     S: Fn(u64) -> F,
     F: Future<Output = bool>,
 {
-    let mut lives = shared.lives.subscribe();
-    let mut ticks = shared.tick.subscribe();
-    lives.mark_unchanged();
-    ticks.mark_unchanged();
-    let compute = shared.begin(prompt);
-    let ticket = shared.queue(work.priority);
-    let mut guard = Guard { shared, ticket, placed: false, whole: false };
-    let mut prefill = compute.div_ceil(shared.settings.prefill);
+    let mut prefill = guest.compute.div_ceil(guest.shared.settings.prefill);
     let mut next = work.from;
     while next < work.words {
         tokio::select! {
-            _ = lives.changed() => return false,
-            _ = ticks.changed() => {}
+            _ = guest.lives.changed() => return false,
+            _ = guest.ticks.changed() => {}
         }
-        guard.placed = guard.placed || shared.place(ticket);
-        if !guard.placed {
+        guest.placed = guest.placed || guest.shared.place(guest.ticket);
+        if !guest.placed {
             continue;
         }
         if prefill > 0 {
@@ -79,6 +95,6 @@
         }
         next += 1;
     }
-    guard.whole = true;
+    guest.whole = true;
     true
 }
--- a/crates/filberttrail-stand-in/src/engine/mod.rs
+++ b/crates/filberttrail-stand-in/src/engine/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::text;
 use bytes::Bytes;
+use filberttrail_kernel::id::ENGINE_LIFE;
 use filberttrail_web::server::json;
 use filberttrail_web::{Body, Request, Response};
 use hyper::{Method, StatusCode};
@@ -117,6 +118,8 @@
     }
 
     async fn complete(&self, request: Request) -> Response {
+        let life =
+            request.headers().get(ENGINE_LIFE).and_then(|life| life.to_str().ok()?.parse().ok());
         let chat = request.uri().path().contains("chat");
         let body = crate::body(request.into_body()).await;
         let Ok(call) = serde_json::from_slice::<Call>(&body) else {
@@ -128,13 +131,20 @@
             call.prompt
         };
         let from = if call.stream { call.resume_from } else { 0 };
-        let work = batch::Work { from, words: call.max_tokens, priority: call.priority };
+        let work = batch::Work { from, words: call.max_tokens };
+        let guest = match batch::Guest::new(self.shared.clone(), &prompt, call.priority, life) {
+            Ok(guest) => guest,
+            Err(life) => {
+                let mut refusal = json(StatusCode::PRECONDITION_FAILED, &"meant for another life");
+                refusal.headers_mut().insert(ENGINE_LIFE, life.into());
+                return refusal;
+            }
+        };
         let (sender, body) = Body::channel(64);
-        let shared = self.shared.clone();
         if !call.stream {
             let (done, answered) = tokio::sync::oneshot::channel();
             tokio::spawn(async move {
-                let whole = batch::generate(&shared, &prompt, work, |_| async { true });
+                let whole = batch::generate(guest, work, |_| async { true });
                 if whole.await {
                     let _ = done.send(text::answer(&prompt, call.max_tokens));
                 }
@@ -145,7 +155,7 @@
             };
         }
         tokio::spawn(async move {
-            let whole = batch::generate(&shared, &prompt, work, |index| {
+            let whole = batch::generate(guest, work, |index| {
                 let piece = streamed_piece(chat, &text::word(&prompt, index));
                 let sender = sender.clone();
                 async move { sender.send(Ok(piece)).await.is_ok() }
--- a/crates/filberttrail-stand-in/src/engine/state.rs
+++ b/crates/filberttrail-stand-in/src/engine/state.rs
@@ -264,9 +264,13 @@
         self.lives.send_modify(|life| *life += 1);
     }
 
-    /// Takes a request in; tells how many words of its prompt must be computed.
-    pub fn begin(&self, prompt: &str) -> u64 {
+    /// Takes a request in; tells how many words of its prompt must be computed. One that is meant for
+    /// another life is refused with the engine's own.
+    pub fn begin(&self, prompt: &str, life: Option<u64>) -> Result<u64, u64> {
         let mut state = self.lock();
+        if life.is_some_and(|life| life != state.incarnation) {
+            return Err(state.incarnation);
+        }
         state.counts.begun += 1;
         if state.in_flight >= state.bearable {
             state.counts.overloads += 1;
@@ -279,7 +283,7 @@
         let words = prompt.split_whitespace().count() as u64;
         let hash = filberttrail_kernel::digest::stable_hash(prompt.as_bytes());
         if state.prefixes.contains(&hash) {
-            return 0;
+            return Ok(0);
         }
         state.prefixes.push_back(hash);
         state.note_event("added", hash);
@@ -288,7 +292,7 @@
         {
             state.note_event("evicted", evicted);
         }
-        words
+        Ok(words)
     }
 
     /// Lets a request go; each whole answer warms the engine by two.
--- a/crates/filberttrail-stand-in/tests/engine.rs
+++ b/crates/filberttrail-stand-in/tests/engine.rs
@@ -1,5 +1,6 @@
 //! The stand-in engine does what engines do: priorities, resumed streams, late and lost events.
 
+use filberttrail_kernel::id::ENGINE_LIFE;
 use filberttrail_stand_in::engine::{Event, Settings};
 use filberttrail_stand_in::{Engine, text};
 use filberttrail_web::{Body, Client};
@@ -90,3 +91,21 @@
     let numbers: Vec<u64> = events.iter().map(|event| event.number).collect();
     assert_eq!(numbers, [1, 2, 3, 4, 5, 6, 8], "the seventh is lost");
 }
+
+#[tokio::test]
+async fn a_request_for_another_life_is_refused_before_it_starts() {
+    let (address, _stop) = start(Settings::default()).await;
+    let call = async |life: u64| {
+        let body = Body::new(r#"{"prompt":"hello","max_tokens":1}"#.to_string());
+        let request = hyper::Request::post("/v1/completions").header("host", "engine");
+        let request = request.header(ENGINE_LIFE, life).body(body).expect("a request");
+        let client = Client::new();
+        client.fetch(address, request, Duration::from_secs(30), 1 << 20).await.expect("an answer")
+    };
+    let refused = call(0).await;
+    assert_eq!(refused.status(), hyper::StatusCode::PRECONDITION_FAILED);
+    let life = refused.headers()[ENGINE_LIFE].to_str().expect("text").parse().expect("a life");
+    let counts = ask(address, "GET", "/control/counts", serde_json::Value::Null).await;
+    assert!(counts.contains(r#""begun":0"#), "{counts}");
+    assert_eq!(call(life).await.status(), hyper::StatusCode::OK);
+}
--- a/crates/filberttrail-state/src/cap.rs
+++ b/crates/filberttrail-state/src/cap.rs
@@ -24,6 +24,7 @@
     limit: u32,
     in_flight: u32,
     incarnation: Option<Incarnation>,
+    former: Option<Incarnation>,
     progress: Duration,
     gap: Duration,
 }
@@ -37,6 +38,7 @@
             limit: cold,
             in_flight: 0,
             incarnation: None,
+            former: None,
             progress: Duration::ZERO,
             gap: Duration::ZERO,
         }
@@ -89,14 +91,20 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// Notes the engine's life as its load report gives it.
+    /// Notes the engine's life as a load report or a refusal gives it. Reports lag behind, so the life
+    /// before the known one is not taken back.
     pub fn observe(&mut self, incarnation: Incarnation) {
-        if self.incarnation != Some(incarnation) {
-            self.incarnation = Some(incarnation);
+        if self.incarnation != Some(incarnation) && self.former != Some(incarnation) {
+            self.former = self.incarnation.replace(incarnation);
             self.turn_cold();
         }
     }
 
+    /// Returns the engine's life, once known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
+    }
+
     /// Sets new limits from the configuration; a higher one is still reached by evidence.
     pub fn configure(&mut self, cold: u32, warm: u32) {
         self.cold = cold;
--- a/crates/filberttrail-state/tests/cap.rs
+++ b/crates/filberttrail-state/tests/cap.rs
@@ -96,3 +96,13 @@
     cap.token(Duration::from_millis(400), Duration::from_millis(400));
     assert_eq!(cap.limit(), COLD);
 }
+
+#[test]
+fn a_late_report_does_not_bring_the_former_life_back() {
+    let mut cap = Cap::new(COLD, WARM);
+    cap.observe(7);
+    cap.observe(8);
+    cap.finish(true, Duration::ZERO);
+    cap.observe(7);
+    assert_eq!((cap.incarnation(), cap.limit()), (Some(8), COLD + 1));
+}
