Add the fault soak of gateways

Callers keep their connections until these are gone. Twelve promises are judged from what callers and upstreams saw.

Each judgement is tested on evidence that breaks it.

Expert maps and the rebalancer are not soaked yet.

--- /dev/null
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -0,0 +1,431 @@
+//! The processes, stand-ins and links of a soak, and what is done to them.
+
+use crate::evidence::{Evidence, Key, Leave, Out, Run, Span, Stop, Touched};
+use crate::fault::{Ailment, Fault, Harm, Path};
+use crate::link::Link;
+use crate::plan::Size;
+use crate::run::Settings;
+use crate::verdict::Bounds;
+use filberttrail_kernel::{Error, Result};
+use filberttrail_platform::store::{CONFIGURATION, IN_FORCE, OUTS, UPSTREAMS};
+use filberttrail_platform_stand_in::store::Mode;
+use filberttrail_platform_stand_in::{Script, Store, Upstream, caller};
+use filberttrail_test_support::process::{Process, ProcessSignal, free_ports};
+use serde_json::json;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Names of the data centres.
+const DATA_CENTRES: [&str; 2] = ["noord", "zuid"];
+/// The service behind all routes.
+const SERVICE: &str = "desk";
+/// How long a stop may take.
+pub const GRACE: Duration = Duration::from_secs(8);
+/// Pause before a process is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// How often a process is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+/// How long an upstream usually works on an answer, or on an event of a stream.
+const WORK: Duration = Duration::from_millis(15);
+/// The same while it is slow.
+const SLOW_WORK: Duration = Duration::from_millis(600);
+/// From the notice of an upstream's leaving to its end: the time that the rest may take, and half a
+/// second.
+const LEAVE_TIME: Duration = Duration::from_millis(3_500);
+/// How long callers have a new key before the former one is revoked.
+const KEY_OVERLAP: Duration = Duration::from_millis(1_200);
+/// How upstreams misbehave.
+const SCRIPTS: [Script; 9] = [
+    Script::Refuse,
+    Script::Shed,
+    Script::Fail,
+    Script::Crossed,
+    Script::Unsigned,
+    Script::Close,
+    Script::BreakAfter(2),
+    Script::Silent,
+    Script::Twice,
+];
+
+/// Returns the data centre of an upstream or a gateway.
+pub fn data_centre(place: usize) -> usize {
+    place % DATA_CENTRES.len()
+}
+
+/// A gateway's process and links.
+pub struct Gateway {
+    /// Where callers connect.
+    pub front: Link,
+    ready: SocketAddr,
+    store: Link,
+    process: Mutex<Option<Process>>,
+    /// Counts its processes.
+    pub life: AtomicUsize,
+    asked: AtomicBool,
+}
+
+struct Place {
+    link: Link,
+    upstream: Upstream,
+    replaced: usize,
+    /// All upstreams that stood here.
+    all: Vec<Upstream>,
+}
+
+/// An estate under soak.
+pub struct Estate {
+    settings: Settings,
+    began: Instant,
+    store: Store,
+    /// Its gateways.
+    pub gateways: Vec<Gateway>,
+    places: Vec<tokio::sync::Mutex<Place>>,
+    outs: Vec<tokio::sync::Mutex<()>>,
+    changing_keys: tokio::sync::Mutex<u64>,
+    evidence: Mutex<Evidence>,
+    /// The key that callers use.
+    pub key: AtomicUsize,
+    ending: AtomicBool,
+}
+
+/// Returns the text of a key.
+pub fn key_text(number: usize) -> String {
+    format!("key-of-callers-{number:04}")
+}
+
+fn fault(what: &str, fault: impl ToString) -> Error {
+    Error::system(what, fault, "free ports, memory or disk space, and start again")
+}
+
+impl Estate {
+    /// Starts an estate and waits until its gateways take callers.
+    pub async fn start(settings: Settings, size: Size, bounds: &Bounds) -> Result<Arc<Self>> {
+        let folder = settings.folder.clone();
+        std::fs::create_dir_all(&folder).map_err(|wrong| fault("folder", wrong))?;
+        let store = Store::start().await;
+        let mut gateways = Vec::new();
+        for _ in 0..size.gateways {
+            let [front, ready] = [0; 2].map(|_| local(free_ports(1)[0]));
+            gateways.push(Gateway {
+                front: Link::start(front).await.map_err(|wrong| fault("link", wrong))?,
+                ready,
+                store: Link::start(store.address).await.map_err(|wrong| fault("link", wrong))?,
+                process: Mutex::new(None),
+                life: AtomicUsize::new(0),
+                asked: AtomicBool::new(false),
+            });
+            let place = gateways.len() - 1;
+            let internal = free_ports(1)[0];
+            let retries = bounds.retries;
+            let wire = caller::gateway_settings(
+                &format!("gateway-{place}"),
+                DATA_CENTRES[data_centre(place)],
+                [front, ready],
+                [internal, internal],
+                gateways[place].store.address,
+                caller::bounds(GRACE, retries.ratio, retries.slack, retries.span),
+            );
+            let path = folder.join(format!("gateway-{place}.json"));
+            std::fs::write(path, wire.to_string()).map_err(|wrong| fault("settings", wrong))?;
+        }
+        let mut places = Vec::new();
+        for index in 0..size.upstreams {
+            let upstream = Upstream::start(&format!("upstream-{index}-0")).await;
+            upstream.set_work(WORK);
+            let link = Link::start(upstream.address).await.map_err(|wrong| fault("link", wrong))?;
+            let all = vec![upstream.clone()];
+            let place = Place { link, upstream, replaced: 0, all };
+            register(&store, &place, index, "ready");
+            places.push(tokio::sync::Mutex::new(place));
+        }
+        store.write(CONFIGURATION, IN_FORCE, caller::configuration(1, &[&key_text(0)]));
+        let first_key = Key { added: Duration::ZERO, revoked: None };
+        let evidence = Evidence { keys: vec![first_key], ..Evidence::default() };
+        let estate = Arc::new(Self {
+            settings,
+            began: Instant::now(),
+            store,
+            gateways,
+            places,
+            outs: DATA_CENTRES.iter().map(|_| tokio::sync::Mutex::new(())).collect(),
+            changing_keys: tokio::sync::Mutex::new(1),
+            evidence: Mutex::new(evidence),
+            key: AtomicUsize::new(0),
+            ending: AtomicBool::new(false),
+        });
+        for place in 0..size.gateways {
+            tokio::spawn(estate.clone().keep(place));
+        }
+        estate.wait_until_ready().await?;
+        Ok(estate)
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Returns the evidence so far.
+    pub fn evidence(&self) -> MutexGuard<'_, Evidence> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn wait_until_ready(&self) -> Result<()> {
+        let client = filberttrail_web::Client::new();
+        let path = filberttrail_platform::settings::READINESS_PATH;
+        for gateway in &self.gateways {
+            loop {
+                let request = hyper::Request::get(path).header("host", "gateway");
+                let request = request.body(filberttrail_web::Body::empty());
+                let request = request.map_err(|wrong| fault("request", wrong))?;
+                let asked = client.fetch(gateway.ready, request, Duration::from_secs(1), 1_024);
+                if asked.await.is_ok_and(|answer| answer.status().is_success()) {
+                    break;
+                }
+                if self.now() > Duration::from_secs(30) {
+                    let help = "see its log in the run's folder";
+                    return Err(Error::system("gateway", "it is not ready", help).into());
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts a gateway's process again whenever it has ended.
+    async fn keep(self: Arc<Self>, place: usize) {
+        let gateway = &self.gateways[place];
+        while !self.ending.load(Ordering::Relaxed) {
+            let life = gateway.life.fetch_add(1, Ordering::Relaxed) + 1;
+            gateway.asked.store(false, Ordering::Relaxed);
+            match self.spawn(place, life) {
+                Ok(process) => *lock(&gateway.process) = Some(process),
+                Err(wrong) => {
+                    self.evidence().own_ends.push(format!("gateway {place}: {wrong}"));
+                    return;
+                }
+            }
+            // A restart counts as a disturbance of its own.
+            let now = self.now();
+            let touched = Touched::Gateway(place);
+            self.evidence().spans.push(Span { from: now, to: now, touched, planned: false });
+            let status = loop {
+                if let Some(status) = lock(&gateway.process).as_mut().and_then(Process::ended) {
+                    break status;
+                }
+                tokio::time::sleep(LOOK).await;
+            };
+            if !gateway.asked.load(Ordering::Relaxed) {
+                let end = format!("gateway {place}, process {life}, ended by itself: {status}");
+                self.evidence().own_ends.push(end);
+            }
+            tokio::time::sleep(RESTART_PAUSE).await;
+        }
+    }
+
+    fn spawn(&self, place: usize, life: usize) -> std::io::Result<Process> {
+        let log = File::create(self.settings.folder.join(format!("gateway-{place}-{life}.log")))?;
+        let path = self.settings.folder.join(format!("gateway-{place}.json")).display().to_string();
+        let mut arguments = vec!["gateway", "--settings", path.as_str()];
+        let mutant = self.settings.mutant.map(|mutant| mutant.to_string());
+        if let Some(mutant) = &mutant {
+            arguments.extend(["--without", mutant.as_str()]);
+        }
+        Process::start_logged(&self.settings.program, &arguments, log)
+    }
+
+    fn signal(&self, place: usize, signal: ProcessSignal) {
+        if let Some(process) = lock(&self.gateways[place].process).as_ref() {
+            process.signal(signal);
+        }
+    }
+
+    /// Brings a fault about, and sees it to its end.
+    pub async fn act(self: Arc<Self>, fault: Fault) {
+        let from = self.now();
+        let touched = match fault {
+            Fault::Kill(place) => {
+                self.gateways[place].asked.store(true, Ordering::Relaxed);
+                self.signal(place, ProcessSignal::SIGKILL);
+                Some(Touched::Gateway(place))
+            }
+            Fault::Freeze(place, lasting) => {
+                self.signal(place, ProcessSignal::SIGSTOP);
+                tokio::time::sleep(lasting).await;
+                self.signal(place, ProcessSignal::SIGCONT);
+                Some(Touched::Gateway(place))
+            }
+            Fault::Stop(place) => {
+                let life = self.gateways[place].life.load(Ordering::Relaxed);
+                self.gateways[place].asked.store(true, Ordering::Relaxed);
+                self.signal(place, ProcessSignal::SIGTERM);
+                self.evidence().stops.push(Stop { gateway: place, life, at: from });
+                None
+            }
+            Fault::Reload(place) => {
+                self.signal(place, ProcessSignal::SIGHUP);
+                None
+            }
+            Fault::Link(path, harm, lasting) => Some(self.harm(path, harm, lasting).await),
+            Fault::Store(ailment, lasting) => {
+                self.ail(ailment, lasting).await;
+                Some(Touched::Store)
+            }
+            Fault::Misbehave(place, times) => {
+                self.misbehave(place, times).await;
+                Some(Touched::Upstream(place))
+            }
+            Fault::Slow(place, lasting) => {
+                let upstream = self.places[place].lock().await.upstream.clone();
+                upstream.set_work(SLOW_WORK);
+                tokio::time::sleep(lasting).await;
+                upstream.set_work(WORK);
+                Some(Touched::Upstream(place))
+            }
+            Fault::End(place, lasting) => {
+                self.replace(place, false, lasting).await;
+                Some(Touched::Upstream(place))
+            }
+            Fault::Leave(place) => {
+                self.replace(place, true, LEAVE_TIME).await;
+                None
+            }
+            Fault::ReplaceKey => {
+                self.replace_key().await;
+                None
+            }
+            Fault::Out(data_centre, lasting) => {
+                self.take_out(data_centre, lasting).await;
+                None
+            }
+        };
+        let to = self.now();
+        if let Some(touched) = touched {
+            self.evidence().spans.push(Span { from, to, touched, planned: fault.is_planned() });
+        }
+    }
+
+    async fn harm(&self, path: Path, harm: Harm, lasting: Duration) -> Touched {
+        let (link, touched) = match path {
+            Path::Callers(place) => (self.gateways[place].front.clone(), Touched::Gateway(place)),
+            Path::Store(place) => (self.gateways[place].store.clone(), Touched::Gateway(place)),
+            Path::Upstream(place) => {
+                (self.places[place].lock().await.link.clone(), Touched::Upstream(place))
+            }
+        };
+        link.harm(harm);
+        tokio::time::sleep(lasting).await;
+        link.mend();
+        touched
+    }
+
+    async fn ail(&self, ailment: Ailment, lasting: Duration) {
+        match ailment {
+            Ailment::Unavailable => self.store.set_mode(Mode::Busy),
+            Ailment::LosesAnswers => self.store.set_mode(Mode::LosesAnswers),
+            Ailment::Forgets => return self.store.forget_history(),
+        }
+        tokio::time::sleep(lasting).await;
+        self.store.set_mode(Mode::Up);
+    }
+
+    async fn misbehave(&self, place: usize, times: usize) {
+        let upstream = self.places[place].lock().await.upstream.clone();
+        let scripts: Vec<Script> = (0..times).filter_map(|_| fastrand::choice(SCRIPTS)).collect();
+        upstream.script(&scripts);
+        while upstream.pending() > 0 && !self.ending.load(Ordering::Relaxed) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Has another upstream take the place and the address of one that ends.
+    async fn replace(&self, index: usize, notice: bool, lasting: Duration) {
+        // One that is being replaced is left alone.
+        let Ok(mut place) = self.places[index].try_lock() else { return };
+        if notice {
+            register(&self.store, &place, index, "draining");
+            let leave = Leave { instance: place.upstream.id.clone(), at: self.now() };
+            self.evidence().leaves.push(leave);
+        } else {
+            place.upstream.end();
+        }
+        tokio::time::sleep(lasting).await;
+        self.store.remove(UPSTREAMS, &place.upstream.id);
+        place.upstream.end();
+        place.replaced += 1;
+        let next = Upstream::start(&format!("upstream-{index}-{}", place.replaced)).await;
+        next.set_work(WORK);
+        place.link.turn_to(next.address);
+        place.all.push(next.clone());
+        place.upstream = next;
+        register(&self.store, &place, index, "ready");
+    }
+
+    async fn replace_key(&self) {
+        let mut version = self.changing_keys.lock().await;
+        let former = self.key.load(Ordering::Relaxed);
+        let (old, new) = (key_text(former), key_text(former + 1));
+        *version += 1;
+        self.store.write(CONFIGURATION, IN_FORCE, caller::configuration(*version, &[&old, &new]));
+        let added = self.now();
+        self.evidence().keys.push(Key { added, revoked: None });
+        tokio::time::sleep(KEY_OVERLAP).await;
+        self.key.store(former + 1, Ordering::Relaxed);
+        *version += 1;
+        self.store.write(CONFIGURATION, IN_FORCE, caller::configuration(*version, &[&new]));
+        let revoked = self.now();
+        self.evidence().keys[former].revoked = Some(revoked);
+    }
+
+    async fn take_out(&self, data_centre: usize, lasting: Duration) {
+        let Ok(_out) = self.outs[data_centre].try_lock() else { return };
+        self.store.write(OUTS, DATA_CENTRES[data_centre], json!({}));
+        let from = self.now();
+        tokio::time::sleep(lasting).await;
+        let to = self.now();
+        self.store.remove(OUTS, DATA_CENTRES[data_centre]);
+        self.evidence().outs.push(Out { data_centre, from, to });
+    }
+
+    /// Ends all processes, and returns the evidence.
+    pub async fn end(&self) -> Evidence {
+        self.ending.store(true, Ordering::Relaxed);
+        for (place, gateway) in self.gateways.iter().enumerate() {
+            gateway.asked.store(true, Ordering::Relaxed);
+            self.signal(place, ProcessSignal::SIGCONT);
+            self.signal(place, ProcessSignal::SIGKILL);
+        }
+        let mut evidence = std::mem::take(&mut *self.evidence());
+        for (index, place) in self.places.iter().enumerate() {
+            for upstream in &place.lock().await.all {
+                for run in upstream.runs() {
+                    let at = run.at.map(|at| at.duration_since(self.began)).unwrap_or_default();
+                    let faithful = caller::is_faithful(&run);
+                    let instance = upstream.id.clone();
+                    let request = run.request;
+                    evidence.runs.push(Run { request, upstream: index, instance, at, faithful });
+                }
+            }
+        }
+        evidence
+    }
+}
+
+fn local(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn lock(process: &Mutex<Option<Process>>) -> MutexGuard<'_, Option<Process>> {
+    process.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Writes the registration of a place's upstream, under the address of its link.
+fn register(store: &Store, place: &Place, index: usize, state: &str) {
+    let mut registration = place.upstream.registration(SERVICE, DATA_CENTRES[data_centre(index)]);
+    registration["address"] = place.link.address.to_string().into();
+    registration["state"] = state.into();
+    store.write(UPSTREAMS, &place.upstream.id, registration);
+}
--- a/crates/filberttrail-test-support/src/process.rs
+++ b/crates/filberttrail-test-support/src/process.rs
@@ -2,7 +2,8 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -28,6 +29,19 @@
         Self { child, lines }
     }
 
+    /// Starts a program whose output goes to a file.
+    pub fn start_logged(program: &str, arguments: &[&str], log: File) -> io::Result<Self> {
+        let errors = log.try_clone()?;
+        let mut command = Command::new(program);
+        let child = command.args(arguments).stdout(log).stderr(errors).spawn()?;
+        Ok(Self { child, lines: Vec::new() })
+    }
+
+    /// Returns how the process ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Returns the address on the line that begins with a word.
     pub fn address(&self, word: &str) -> SocketAddr {
         let line = self.lines.iter().find_map(|line| line.strip_prefix(word));
