End misbehaviours of the soak's upstreams with their plan

Traced in the gateway's log: upstream-2-0 had answered badly seven times and got no request for 13 s, since its failures cost more than any load elsewhere; the answer was one that the soak had put there.

Change: the soak takes back what is left after 2.5 s, as with other faults.

--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -37,6 +37,8 @@
 const LEAVE_TIME: Duration = Duration::from_millis(3_500);
 /// How long callers have a new key before the former one is revoked.
 const KEY_OVERLAP: Duration = Duration::from_millis(1_200);
+/// How long an upstream misbehaves at most.
+const MISBEHAVIOUR: Duration = Duration::from_millis(2_500);
 /// How upstreams misbehave.
 const SCRIPTS: [Script; 9] = [
     Script::Refuse,
@@ -336,9 +338,12 @@
         let upstream = self.places[place].lock().await.upstream.clone();
         let scripts: Vec<Script> = (0..times).filter_map(|_| fastrand::choice(SCRIPTS)).collect();
         upstream.script(&scripts);
-        while upstream.pending() > 0 && !self.ending.load(Ordering::Relaxed) {
+        // An upstream that fails gets few requests: what it has not met by then would outlast the plan.
+        let until = self.now() + MISBEHAVIOUR;
+        while upstream.pending() > 0 && self.now() < until {
             tokio::time::sleep(LOOK).await;
         }
+        upstream.forget_scripts();
     }
 
     /// Has another upstream take the place and the address of one that ends.
--- a/crates/filberttrail-soak/src/verdict.rs
+++ b/crates/filberttrail-soak/src/verdict.rs
@@ -41,7 +41,7 @@
     report.add(what_leaves_stays_quiet(evidence, bounds));
     report.add(stops_cut_off_nothing(evidence, &runs, bounds));
     report.add(processes_live_on(evidence));
-    report.add(all_is_served_again(evidence, bounds));
+    report.add(all_is_served_again(evidence, &runs, bounds));
     report
 }
 
@@ -237,13 +237,14 @@
     promise
 }
 
-fn all_is_served_again(evidence: &Evidence, bounds: &Bounds) -> Promise {
+fn all_is_served_again(evidence: &Evidence, runs: &Runs<'_>, bounds: &Bounds) -> Promise {
     let mut promise = Promise::new("all is served again after the faults", "recovery");
     let from = evidence.calm_from + bounds.settle + bounds.settle;
     for attempt in evidence.attempts.iter().filter(|attempt| attempt.sent > from) {
         let valid = evidence.keys[attempt.key].revoked.is_none();
         if valid && attempt.end != End::Left {
-            promise.case((!attempt.is_served()).then(|| format!("{attempt:?}")));
+            let ran = runs.get(attempt.id.as_str());
+            promise.case((!attempt.is_served()).then(|| format!("{attempt:?}, {ran:?}")));
         }
     }
     promise
