Have one coordinator after a cut has healed

Change: whose turn it is has its own module, and counts from when the rank saw its group open in this epoch. A lost first rank is still replaced by the next.

--- a/crates/filberttrail-rebalance/src/coordinator.rs
+++ b/crates/filberttrail-rebalance/src/coordinator.rs
@@ -8,6 +8,7 @@
 use crate::rollout::{self, Step};
 use crate::tally::Tally;
 use crate::teller::Teller;
+use crate::turn::{TAKE_OVER, Turn};
 use crate::{Interface, Settings};
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Weight;
@@ -31,10 +32,6 @@
 const COPY_ROUND: Duration = Duration::from_millis(50);
 /// The pause between two rounds of a switch.
 const SWITCH_ROUND: Duration = Duration::from_millis(4);
-/// How long a rank's coordinator may be unheard before the next rank takes over.
-const TAKE_OVER: Duration = Duration::from_millis(800);
-/// How much longer each further rank waits.
-const TAKE_OVER_STEP: Duration = Duration::from_millis(250);
 /// How long an order that got no answer is left alone before it is given again.
 const REPEAT_AFTER: Duration = Duration::from_millis(60);
 /// How long switches are settled further ahead after an order got no answer.
@@ -115,21 +112,24 @@
 
     /// Coordinates whenever it is this rank's turn, until the task is ended.
     pub async fn run(mut self) {
-        let mut began = self.clock.now();
+        let mut turn = Turn::new();
         loop {
             let report = self.rank.engine().report().await;
             if let Ok(report) = &report {
                 self.teller.tell(report.pace).await;
             }
             let pause = match report {
-                Ok(report) if self.is_turn(&report, began) => self.round(&report).await,
-                Ok(_) => {
-                    self.stand_by();
-                    IDLE_ROUND
+                Ok(report) => {
+                    if turn.is_mine(&report, self.rank.heard(), self.clock.now()) {
+                        self.round(&report).await
+                    } else {
+                        self.stand_by();
+                        IDLE_ROUND
+                    }
                 }
                 Err(fault) => {
                     log::debug!("the engine does not report: {fault}");
-                    began = self.clock.now();
+                    turn.note_silence();
                     self.stand_by();
                     IDLE_ROUND
                 }
@@ -138,19 +138,6 @@
         }
     }
 
-    /// The lowest rank that is heard coordinates; the others step in one after the other.
-    fn is_turn(&self, report: &Report, began: Duration) -> bool {
-        if !report.open || report.size < 2 {
-            return false;
-        }
-        let now = self.clock.now();
-        let patience = TAKE_OVER + TAKE_OVER_STEP * report.rank as u32;
-        match self.rank.heard() {
-            Some(heard) if heard.rank < report.rank => now > heard.at + patience,
-            _ => report.rank == 0 || now > began + patience,
-        }
-    }
-
     fn stand_by(&mut self) {
         self.read_plan = false;
         self.plan = None;
--- a/crates/filberttrail-rebalance/src/lib.rs
+++ b/crates/filberttrail-rebalance/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod settings;
 pub mod tally;
 pub mod teller;
+pub mod turn;
 
 pub use daemon::Rebalancer;
 pub use interface::Interface;
