Give callers of a service that is down a later return, and spare replaced upstreams

Load pattern: a lock-step group is broken by a cut for seconds; engines are replaced under their addresses.

Change: callers of a service that is down come back after 1.7 to 2.4 s; a replay finds 1.3 times as many of them served. An upstream whose address another one has answered at gets nothing until it registers anew.

--- a/crates/filberttrail-fleet/src/admission.rs
+++ b/crates/filberttrail-fleet/src/admission.rs
@@ -17,6 +17,9 @@
 const RETURNED_WAIT: Duration = Duration::from_millis(1_500);
 /// The shortest time after which to come back.
 const RETRY_MINIMUM: Duration = Duration::from_millis(500);
+/// The shortest time after which to come back to a service that is down: a lock-step group reports a
+/// lost rank after a stall of 1.5 s, and is not back before.
+const OUTAGE_MINIMUM: Duration = Duration::from_millis(1_700);
 /// The longest time after which to come back; callers honour a third of what they have left.
 const RETRY_MAXIMUM: Duration = Duration::from_millis(2_400);
 /// Slots freed a second that are assumed before any was.
@@ -60,6 +63,12 @@
     pub tried: Vec<String>,
 }
 
+/// Returns after which time callers of a service that is down should come back. They come back once:
+/// the later, the more outages are over. `draw` is from 0 to 1 and spreads returns.
+pub fn retry_after_outage(draw: f64) -> Duration {
+    retry_after(OUTAGE_MINIMUM, draw)
+}
+
 /// What becomes of a request that finds no slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/filberttrail-fleet/src/balance.rs
+++ b/crates/filberttrail-fleet/src/balance.rs
@@ -97,7 +97,7 @@
                 cost += GAP_WEIGHT * (gap / least_gap.max(f64::MIN_POSITIVE) - 1.0).min(4.0);
             }
         }
-        cost += FAILING_WEIGHT * node.health.failing();
+        cost += FAILING_WEIGHT * node.health.failing(terms.now);
         cost += SPREAD * draw();
         if node.upstream.data_centre != terms.home {
             cost += DISTANCE_WEIGHT;
@@ -111,7 +111,10 @@
 
 /// Returns whether an upstream may be sent a request at all.
 pub fn usable(node: &Node, outs: &[String], tried: &[String]) -> bool {
-    node.open() && !outs.contains(&node.upstream.data_centre) && !tried.contains(&node.upstream.id)
+    node.open()
+        && !node.replaced
+        && !outs.contains(&node.upstream.data_centre)
+        && !tried.contains(&node.upstream.id)
 }
 
 fn group_loads(nodes: &[&mut Node]) -> HashMap<String, Load> {
--- a/crates/filberttrail-fleet/src/health.rs
+++ b/crates/filberttrail-fleet/src/health.rs
@@ -2,12 +2,16 @@
 //!
 //! Load pattern: an upstream fails part of its requests, or all, while its health check passes.
 //! Failures raise its cost; a run of them keeps new work away for a while that
-//! doubles, and after it one request at a time is tried until one succeeds.
+//! doubles, and after it one request at a time is tried until one succeeds. The cost of failures
+//! fades, since an upstream that gets no work cannot show that it is sound again.
 
 use std::time::Duration;
 
 /// The weight of the newest outcome.
 const NEWEST: f64 = 0.2;
+/// The time in which the cost of failures fades to a half; at light load a sound upstream is tried
+/// again within half a minute, and one that still fails gets little meanwhile.
+const FADING: Duration = Duration::from_millis(4_000);
 /// Failures in a row that keep new work away.
 const RUN: u32 = 3;
 /// How long new work is kept away at first.
@@ -19,6 +23,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Health {
     failing: f64,
+    /// When that was so.
+    judged: Duration,
     run: u32,
     pauses: u32,
     away_until: Duration,
@@ -32,8 +38,8 @@
     }
 
     /// Notes an answer that was as it should be.
-    pub fn note_success(&mut self) {
-        self.failing *= 1.0 - NEWEST;
+    pub fn note_success(&mut self, now: Duration) {
+        self.judge(0.0, now);
         self.run = 0;
         self.pauses = 0;
         self.suspect = false;
@@ -41,7 +47,7 @@
 
     /// Notes a failure; returns whether it begins a pause.
     pub fn note_failure(&mut self, now: Duration) -> bool {
-        self.failing += NEWEST * (1.0 - self.failing);
+        self.judge(1.0, now);
         self.run += 1;
         if self.run < RUN || self.paused(now) {
             return false;
@@ -79,7 +85,14 @@
     }
 
     /// Returns the recent part of failures, from 0 to 1.
-    pub fn failing(&self) -> f64 {
-        self.failing
+    pub fn failing(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.judged);
+        self.failing * 0.5_f64.powf(age.as_secs_f64() / FADING.as_secs_f64())
+    }
+
+    fn judge(&mut self, outcome: f64, now: Duration) {
+        let failing = self.failing(now);
+        self.failing = failing + NEWEST * (outcome - failing);
+        self.judged = now;
     }
 }
--- a/crates/filberttrail-fleet/src/node.rs
+++ b/crates/filberttrail-fleet/src/node.rs
@@ -22,6 +22,8 @@
     pub sent: Window,
     /// Whether its registration vanished while the store was not to be trusted.
     pub missing: bool,
+    /// Whether another upstream has answered at its address.
+    pub replaced: bool,
     /// The smoothed pause between events of its streams.
     pub gap: Option<Duration>,
     /// How much longer it takes for the same work than a sound one, as its rebalancer tells.
@@ -40,6 +42,7 @@
             health: Health::new(),
             sent: Window::new(COLD_SPAN),
             missing: false,
+            replaced: false,
             gap: None,
             pace: 1.0,
             answered: None,
@@ -49,6 +52,7 @@
     /// Takes in a newer registration; another incarnation starts with clean beliefs.
     pub fn update(&mut self, upstream: Upstream) {
         self.missing = false;
+        self.replaced = false;
         if upstream.born != self.upstream.born {
             self.health = Health::new();
             self.gap = None;
--- a/crates/filberttrail-fleet/tests/load.rs
+++ b/crates/filberttrail-fleet/tests/load.rs
@@ -1,6 +1,6 @@
 //! Replays of the worst loads: what waits, what is turned away, and where the rest goes.
 
-use filberttrail_fleet::admission::{Admission, Ask, Verdict};
+use filberttrail_fleet::admission::{self, Admission, Ask, Verdict};
 use filberttrail_fleet::balance::{self, Terms};
 use filberttrail_fleet::upstream::{Rank, State};
 use filberttrail_fleet::{Budget, Health, Node, Upstream, budget};
@@ -258,7 +258,7 @@
     assert!(health.paused(ms(300)) && !health.paused(ms(500)));
     assert!(health.note_failure(ms(500)), "the first try fails as well");
     assert!(health.paused(ms(1_200)) && !health.paused(ms(1_400)));
-    health.note_success();
+    health.note_success(ms(1_400));
     assert!(!health.note_failure(ms(1_500)), "a success begins anew");
 }
 
@@ -271,7 +271,7 @@
     let mut nodes = fill(nodes, 96);
     assert_eq!(nodes[..8].iter().map(|node| node.mine).sum::<u32>(), 1);
     for node in &mut nodes[..8] {
-        node.health.note_success();
+        node.health.note_success(ms(0));
     }
     let nodes = fill(nodes, 50);
     assert!(nodes[..8].iter().map(|node| node.mine).sum::<u32>() > 40);
@@ -320,3 +320,77 @@
     assert!(f64::from(repeats) <= bound, "{repeats} repeats, {bound} allowed");
     assert!(f64::from(repeats) > bound / 2.0, "the budget is there to be used: {repeats}");
 }
+
+#[test]
+fn an_upstream_that_failed_is_tried_again_at_light_load() {
+    // Four upstreams, one request at a time: the others always have room.
+    let mut nodes: Vec<Node> = (0..4).map(|rank| node(&format!("u-{rank}"), None, 10)).collect();
+    for _ in 0..3 {
+        nodes[0].health.note_failure(ms(0));
+    }
+    let mut random = fastrand::Rng::with_seed(1);
+    let tried = (0..30_000).step_by(50).position(|now| {
+        let chosen = balance::choose(nodes.iter_mut(), &terms(ms(now)), || random.f64());
+        chosen.expect("room").upstream.id == "u-0"
+    });
+    assert!(tried.is_some(), "a sound upstream was left without work for 30 s");
+}
+
+#[test]
+fn an_upstream_that_fails_a_third_of_its_work_gets_less_of_it() {
+    let mut nodes: Vec<Node> = (0..4).map(|rank| node(&format!("u-{rank}"), None, 10)).collect();
+    let mut random = fastrand::Rng::with_seed(2);
+    let mut sent = 0;
+    for now in (0..60_000).step_by(20) {
+        let chosen = balance::choose(nodes.iter_mut(), &terms(ms(now)), || random.f64());
+        let node = chosen.expect("room");
+        let failing = node.upstream.id == "u-0";
+        sent += u32::from(failing);
+        match failing && random.u8(..3) == 0 {
+            true => drop(node.health.note_failure(ms(now))),
+            false => node.health.note_success(ms(now)),
+        }
+    }
+    assert!(sent < 3_000 / 4 / 3, "{sent} of 3000 requests were sent to the failing upstream");
+}
+
+#[test]
+fn an_upstream_whose_address_another_has_gets_nothing_until_it_registers_anew() {
+    let mut nodes = [node("u-0", None, 4)];
+    nodes[0].replaced = true;
+    assert!(balance::choose(nodes.iter_mut(), &terms(ms(0)), || 0.5).is_none());
+    let mut again = nodes[0].upstream.clone();
+    again.address = "10.0.0.2:80".parse().expect("an address");
+    nodes[0].update(again);
+    assert!(balance::choose(nodes.iter_mut(), &terms(ms(0)), || 0.5).is_some());
+}
+
+/// Outages of 0.5 to 6 s, with callers at every moment of each; returns the part of them that finds the
+/// service back when they return once.
+fn found_back(after: impl Fn(f64) -> Duration) -> f64 {
+    let mut random = fastrand::Rng::with_seed(3);
+    let (mut callers, mut found) = (0, 0);
+    for lasts in (500..6_000).step_by(100) {
+        for arrives in (0..lasts).step_by(50) {
+            callers += 1;
+            found += u32::from(ms(arrives) + after(random.f64()) > ms(lasts));
+        }
+    }
+    f64::from(found) / f64::from(callers)
+}
+
+#[test]
+fn more_callers_of_a_service_that_is_down_find_it_back() {
+    let before = found_back(|draw| ms(700).mul_f64(1.0 + draw));
+    let now = found_back(admission::retry_after_outage);
+    assert!(now > before * 1.3, "{now:.2} of them, {before:.2} before");
+}
+
+#[test]
+fn callers_of_a_service_that_is_down_come_back_spread() {
+    let returns: Vec<Duration> =
+        (0..=10).map(|draw| admission::retry_after_outage(f64::from(draw) / 10.0)).collect();
+    assert!(returns.windows(2).all(|pair| pair[1] >= pair[0] + ms(50)), "{returns:?}");
+    // A third of what a caller with 8 s has left.
+    assert!(returns.iter().all(|after| *after <= ms(2_666)), "{returns:?}");
+}
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -109,7 +109,12 @@
         };
         tries.may_have_run = before || matches!(failed, Failed::Unknown(_) | Failed::Silent);
         if !may_retry(hub, ask, tries, &failed) {
-            let after = REFUSED_RETRY.mul_f64(1.0 + fastrand::f64());
+            let after = match failed {
+                Failed::NotRun { by_group: true, .. } => {
+                    admission::retry_after_outage(fastrand::f64())
+                }
+                _ => REFUSED_RETRY.mul_f64(1.0 + fastrand::f64()),
+            };
             return give_up(hub, ask, tries, Refusal { cause: "upstreams refused", after });
         }
     }
@@ -159,7 +164,7 @@
     hub.metrics.note_attempt(label);
     match failed {
         Failed::NotRun { by_group: true, .. } => hub.pause_group(id),
-        Failed::NotRun { misdirected: true, .. } => hub.note_outcome(id, Outcome::Unreachable),
+        Failed::NotRun { misdirected: true, .. } => hub.note_outcome(id, Outcome::Replaced),
         _ => hub.note_outcome(id, outcome),
     }
     let fields = json!({
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -9,7 +9,7 @@
 use crate::tag::{Tag, tag};
 use crate::want::{Refusal, Want};
 use crate::{Interface, Settings};
-use filberttrail_fleet::admission::{Admission, Verdict};
+use filberttrail_fleet::admission::{self, Admission, Verdict};
 use filberttrail_fleet::snapshot::{Progress, Revision, Snapshot};
 use filberttrail_fleet::upstream::{self, Upstream};
 use filberttrail_fleet::{Budget, Node, Table, balance};
@@ -34,8 +34,6 @@
 const FILL: f64 = 1.0;
 /// How far below the longest time-out seen on its route a request counts as returned.
 const RETURNED_PART: f64 = 0.97;
-/// When to come back where no upstream can take a request now: a group forms anew within this time.
-const UNSERVABLE_RETRY: Duration = Duration::from_millis(1_000);
 
 /// The shared state of a gateway.
 pub struct Hub {
@@ -419,7 +417,7 @@
                     && balance::usable(node, &state.outs, &want.ask.tried)
             };
             if !state.nodes.values().any(usable) {
-                let after = UNSERVABLE_RETRY.mul_f64(1.0 + fastrand::f64());
+                let after = admission::retry_after_outage(fastrand::f64());
                 return Err(Refusal { cause: "no upstream", after });
             }
             let queue = state.queues.entry(want.service.clone()).or_default();
@@ -469,7 +467,7 @@
         let paused = match outcome {
             Outcome::Success => {
                 node.answered = Some(now);
-                node.health.note_success();
+                node.health.note_success(now);
                 false
             }
             Outcome::Failure => node.health.note_failure(now),
@@ -477,12 +475,16 @@
                 node.health.pause(now);
                 true
             }
+            Outcome::Replaced => {
+                node.replaced = true;
+                true
+            }
             Outcome::Full => {
                 node.health.pause_until(now + FULL_PAUSE);
                 false
             }
         };
-        let failing = node.health.failing();
+        let failing = node.health.failing(now);
         drop(state);
         if paused {
             let fields = json!({ "upstream": id, "failing": failing });
--- a/crates/filberttrail-gateway/src/outcome.rs
+++ b/crates/filberttrail-gateway/src/outcome.rs
@@ -9,6 +9,8 @@
     Failure,
     /// It takes no connections.
     Unreachable,
+    /// Another upstream has its address.
+    Replaced,
     /// It has no room.
     Full,
 }
