Believe that an upstream is replaced only if the answer names another one

Found when reading the change: any 421 marked an upstream as replaced, so one that declines itself would have been left alone until it registers again. A soak that is stopped by a signal ends its gateways: they had been left running.

Tried and reverted: taking a switch over after half the usual time.

--- a/crates/filberttrail-gateway/src/exchange.rs
+++ b/crates/filberttrail-gateway/src/exchange.rs
@@ -56,7 +56,7 @@
         Ok(answered) => answered?,
         Err(_) => return Err(Failed::Silent),
     };
-    judge(hub, ask, &answered.head).map(|()| answered)
+    judge(hub, ask, &permit.id, &answered.head).map(|()| answered)
 }
 
 async fn exchange(
@@ -120,7 +120,7 @@
 }
 
 /// Judges whether an answer belongs to the request and may be passed on.
-fn judge(hub: &Hub, ask: &Ask, head: &Parts) -> Result<(), Failed> {
+fn judge(hub: &Hub, ask: &Ask, upstream: &str, head: &Parts) -> Result<(), Failed> {
     let names = &hub.interface.headers;
     let id = head.headers.get(&names.request);
     if id.is_some_and(|id| id.as_bytes() != ask.id.as_bytes()) {
@@ -129,7 +129,9 @@
     let not_run = head.headers.contains_key(&names.not_run);
     if not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         let by_group = head.headers.contains_key(&names.at_fault);
-        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !by_group;
+        let another = head.headers.get(&names.answering);
+        let another = another.is_some_and(|id| id.as_bytes() != upstream.as_bytes());
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && another && !by_group;
         return Err(Failed::NotRun { by_group, misdirected });
     }
     if !head.headers.contains_key(&names.signature) || id.is_none() {
--- a/crates/filberttrail-soak/src/fault.rs
+++ b/crates/filberttrail-soak/src/fault.rs
@@ -95,9 +95,9 @@
 impl Fault {
     /// Tells whether operators do this on purpose.
     pub fn is_planned(&self) -> bool {
-        let planned = |fault: &Self| {
-            matches!(fault, Self::Stop(_) | Self::Reload(_) | Self::Leave(_) | Self::ReplaceKey)
-        };
-        planned(self) || matches!(self, Self::Out(..))
+        matches!(
+            self,
+            Self::Stop(_) | Self::Reload(_) | Self::Leave(_) | Self::ReplaceKey | Self::Out(..)
+        )
     }
 }
--- a/crates/filberttrail-soak/src/main.rs
+++ b/crates/filberttrail-soak/src/main.rs
@@ -40,7 +40,7 @@
         Err(fault) => Err(usage("command", fault).into()),
     };
     outcome.unwrap_or_else(|fault| {
-        eprintln!("{fault:?}");
+        eprintln!("error: {}", fault.current_context());
         ExitCode::from(2)
     })
 }
@@ -122,7 +122,16 @@
         }
         return Ok(ExitCode::SUCCESS);
     }
-    let outcome = runtime()?.block_on(run(settings))?;
+    let outcome = runtime()?.block_on(async {
+        let mut stop = filberttrail_cli::runtime::stop_on_signals()?;
+        // The estate is dropped with the run, which ends its processes.
+        tokio::select! {
+            outcome = run(settings) => outcome,
+            _ = stop.wait_for(|stop| *stop) => {
+                Err(Error::system("run", "it was stopped by a signal", "start it again").into())
+            }
+        }
+    })?;
     print(&outcome);
     if outcome.report.violations() == 0 {
         return Ok(ExitCode::SUCCESS);
