Mend what reading the change again showed

- A caller could name an engine's life itself and so have its own request refused: the sidecar now sends its own word only, and believes a 412 only if it names another life than was meant.
Test seen failing (503 for 200).
- A request that every upstream had refused was told that the service is down, with the Retry-After of an outage.
It is now told apart from one without upstreams.
- An upstream whose address another has was logged as paused; it has an event of its own.

--- a/crates/filberttrail-dev/tests/cold.rs
+++ b/crates/filberttrail-dev/tests/cold.rs
@@ -1,7 +1,9 @@
 //! Engines that start cold, and everything at once through every entry.
 
 use filberttrail_dev::{Caller, Estate, Options};
+use filberttrail_kernel::id::ENGINE_LIFE;
 use filberttrail_kernel::{Mechanism, Without};
+use std::time::Duration;
 use tokio::task::JoinSet;
 
 const BURST: usize = 200;
@@ -29,3 +31,15 @@
     let without = Without::new().with_left_out(Mechanism::Cap);
     assert!(overloads(without).await > 0, "the burst cannot overload anything");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_cannot_say_which_life_of_an_engine_is_meant() {
+    let estate = Estate::start(Options::default()).await.expect("an estate");
+    let caller = Caller::new("dev-key-00");
+    let body = r#"{"model":"draft","prompt":"one","max_tokens":2}"#;
+    let headers = [(ENGINE_LIFE, "1")];
+    let request = caller.request("POST", "/v1/completions", &headers, body);
+    let answer = caller.call(estate.callers[0], request, Duration::from_secs(30)).await;
+    assert_eq!(answer.expect("an answer").status(), 200);
+    tokio::task::spawn_blocking(move || estate.stop()).await.expect("the estate stops");
+}
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -412,15 +412,22 @@
             {
                 return Ok(permit);
             }
-            let usable = |node: &Node| {
-                node.upstream.service == want.service
-                    && balance::usable(node, &state.outs, &want.ask.tried)
+            let any_usable = |tried: &[String]| {
+                state.nodes.values().any(|node| {
+                    node.upstream.service == want.service
+                        && balance::usable(node, &state.outs, tried)
+                })
             };
-            if !state.nodes.values().any(usable) {
+            if !any_usable(&[]) {
                 let after = admission::retry_after_outage(fastrand::f64());
                 return Err(Refusal { cause: "no upstream", after });
             }
+            let all_tried = !any_usable(&want.ask.tried);
             let queue = state.queues.entry(want.service.clone()).or_default();
+            if all_tried {
+                let after = queue.retry_after(now, fastrand::f64());
+                return Err(Refusal { cause: "all were tried", after });
+            }
             match queue.decide(now, want.ask.clone(), fastrand::f64()) {
                 Verdict::Refuse { after } => return Err(Refusal { cause: "full", after }),
                 Verdict::Wait { ticket, until } => {
@@ -464,31 +471,31 @@
         let now = self.now();
         let mut state = self.lock();
         let Some(node) = state.nodes.get_mut(id) else { return };
-        let paused = match outcome {
+        let event = match outcome {
             Outcome::Success => {
                 node.answered = Some(now);
                 node.health.note_success(now);
-                false
+                None
             }
-            Outcome::Failure => node.health.note_failure(now),
+            Outcome::Failure => node.health.note_failure(now).then_some("upstream_paused"),
             Outcome::Unreachable => {
                 node.health.pause(now);
-                true
+                Some("upstream_paused")
             }
             Outcome::Replaced => {
-                node.replaced = true;
-                true
+                let known = std::mem::replace(&mut node.replaced, true);
+                (!known).then_some("upstream_replaced")
             }
             Outcome::Full => {
                 node.health.pause_until(now + FULL_PAUSE);
-                false
+                None
             }
         };
         let failing = node.health.failing(now);
         drop(state);
-        if paused {
+        if let Some(event) = event {
             let fields = json!({ "upstream": id, "failing": failing });
-            self.journal.note(Weight::Important, "upstream_paused", fields);
+            self.journal.note(Weight::Important, event, fields);
         }
     }
 
--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -65,16 +65,16 @@
         self.relay.observe(took.as_secs_f64());
     }
 
-    /// Returns how many streamed events were passed on, and the part of them within a bound that is
-    /// one of the histogram's.
-    pub fn relayed_within(&self, bound: Duration) -> (u64, f64) {
+    /// Returns how many streamed events were passed on, and the part of them within a bound; none if
+    /// there were no events, or if the bound is not one of the histogram's.
+    pub fn relayed_within(&self, bound: Duration) -> (u64, Option<f64>) {
         let relayed = self.relay.metric();
         let histogram = relayed.get_histogram();
         let bound = bound.as_secs_f64();
-        let within = histogram.get_bucket().iter().find(|bucket| bucket.upper_bound() >= bound);
-        let within = within.map_or(0, |bucket| bucket.cumulative_count());
+        let within = histogram.get_bucket().iter().find(|bucket| bucket.upper_bound() == bound);
         let all = histogram.get_sample_count();
-        (all, within as f64 / all.max(1) as f64)
+        let part = |within: u64| (all > 0).then(|| within as f64 / all as f64);
+        (all, within.and_then(|bucket| part(bucket.cumulative_count())))
     }
 
     /// Writes the metrics as text.
--- a/crates/filberttrail-place/tests/spread.rs
+++ b/crates/filberttrail-place/tests/spread.rs
@@ -8,6 +8,8 @@
 const EXPERTS: u32 = 64;
 const RANKS: u32 = 8;
 const LAYERS: usize = 6;
+/// How far a placement may lie above the best one, as a factor; the target of `bench placement`.
+const TARGET: f64 = 1.05;
 const SOUND: [f64; RANKS as usize] = [1.0; RANKS as usize];
 
 fn terms() -> Terms {
@@ -107,6 +109,8 @@
 fn a_slow_rank_is_relieved_of_its_experts() {
     let mut paces = SOUND;
     paces[3] = 5.0;
+    // The other ranks share all of its work evenly.
+    let relieved = LAYERS as f64 * f64::from(RANKS) / f64::from(RANKS - 1);
     for seed in 0..20 {
         let popularity = skewed(seed);
         let mut maps = dealt();
@@ -114,7 +118,7 @@
             maps = spread(&maps, &popularity, &paces, &terms());
         }
         let after = pass_length(&maps, &popularity, &paces);
-        assert!(after <= 1.25 * LAYERS as f64, "seed {seed}: passes take {after}");
+        assert!(after <= TARGET * relieved, "seed {seed}: passes take {after}, not {relieved}");
         assert!(maps.iter().all(|map| map.check(11).is_ok()));
     }
 }
--- a/crates/filberttrail-sidecar/src/attempt.rs
+++ b/crates/filberttrail-sidecar/src/attempt.rs
@@ -208,7 +208,8 @@
     attempt: Attempt,
     offer: &Offer,
 ) -> Result<hyper::Response<Incoming>, Failure> {
-    let request = match build_request(offer, gate.engine()) {
+    let engine = gate.engine();
+    let request = match build_request(offer, engine) {
         Ok(request) => request,
         Err(failure) => {
             gate.refuse(attempt);
@@ -221,7 +222,7 @@
     }
     let sending = gate.client.send(gate.settings.upstream, request);
     match tokio::time::timeout(gate.settings.head_wait, sending).await {
-        Ok(Ok(response)) => match refused_life(&response) {
+        Ok(Ok(response)) => match refused_life(&response, engine) {
             Some(engine) => {
                 log::info!("{} has turned cold: its life is {engine}", gate.settings.name);
                 gate.observe(engine);
@@ -253,11 +254,16 @@
 }
 
 /// Returns the engine's life from its refusal of an attempt that was meant for another one.
-fn refused_life(response: &hyper::Response<Incoming>) -> Option<Incarnation> {
+fn refused_life(
+    response: &hyper::Response<Incoming>,
+    meant: Option<Incarnation>,
+) -> Option<Incarnation> {
     if response.status() != hyper::StatusCode::PRECONDITION_FAILED {
         return None;
     }
-    response.headers().get(ENGINE_LIFE)?.to_str().ok()?.parse().ok()
+    let engine = response.headers().get(ENGINE_LIFE)?.to_str().ok()?.parse().ok()?;
+    // Any other 412 is the engine's answer to what the caller asked.
+    (meant? != engine).then_some(engine)
 }
 
 fn build_request(
@@ -265,7 +271,9 @@
     engine: Option<Incarnation>,
 ) -> Result<hyper::Request<Body>, Failure> {
     let mut request = hyper::Request::builder().method(offer.method.as_str()).uri(&offer.path);
-    for (name, value) in &offer.headers {
+    // Only the sidecar says which life is meant.
+    let headers = offer.headers.iter().filter(|(name, _)| name != ENGINE_LIFE);
+    for (name, value) in headers {
         request = request.header(name, value.as_ref());
     }
     if let Some(engine) = engine {
