Meet the target of 5 in 100 when experts are spread

The bound of a_second_change_comes_near_a_full_repack (1.15) came from no target. With 0.002: at most 1.046, for 53 copies instead of 46 until maps are settled.

--- a/crates/filberttrail-place/src/spread.rs
+++ b/crates/filberttrail-place/src/spread.rs
@@ -9,8 +9,9 @@
 
 /// The power that makes the largest load count most.
 const POWER: i32 = 8;
-/// The least part of a layer's load that a copy has to save.
-const WORTH: f64 = 0.004;
+/// The least part of a layer's load that a copy has to save; with more, settled maps lie further above
+/// a full repack than the target of 5 in 100.
+const WORTH: f64 = 0.002;
 
 /// What a change must keep to.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/filberttrail-place/tests/spread.rs
+++ b/crates/filberttrail-place/tests/spread.rs
@@ -95,7 +95,7 @@
             .map(|(map, shares)| (repack.place)(map, shares, &terms))
             .collect();
         let full = pass_length(&full, &popularity, &SOUND);
-        assert!(own <= full * 1.15, "seed {seed}: {own} against {full}");
+        assert!(own <= full * TARGET, "seed {seed}: {own} against {full}");
     }
 }
 
