Share what the daemons of the users' platform had twice, and show two more mutants to the soak

The soak counts a case of "what leaves or is out stays quiet" only while something is away, and records an outage from its beginning: a run that ended within one had not judged it. Gateways that do not hear of leaving upstreams or of outages are found now.

--- a/crates/filberttrail-cli/src/commands/run/gateway.rs
+++ b/crates/filberttrail-cli/src/commands/run/gateway.rs
@@ -2,11 +2,11 @@
 
 use crate::arguments::Arguments;
 use crate::command::{Command, Example};
-use crate::runtime;
+use crate::{runtime, settings};
 use filberttrail_gateway::Gateway;
 use filberttrail_kernel::Result;
 use filberttrail_kernel::plugin::inventory;
-use filberttrail_platform::settings;
+use filberttrail_platform::settings::{decode_gateway, interface};
 use std::net::SocketAddr;
 
 inventory::submit! {
@@ -28,23 +28,14 @@
 }
 
 fn run(arguments: &mut Arguments) -> Result<u8> {
-    let path = match arguments.optional::<String>("--settings")? {
-        Some(path) => path,
-        None => settings::path()?,
-    };
     let port = arguments.optional::<u16>("--metrics-port")?;
-    let check = arguments.flag("--check");
-    arguments.finish()?;
-    let settings = settings::read(&path, settings::decode_gateway)?;
-    if check {
-        println!("settings are in order");
+    let Some((settings, reread)) = settings::take(arguments, decode_gateway)? else {
         return Ok(crate::DONE);
-    }
+    };
     let metrics = port.map(|port| SocketAddr::new(settings.listen.ip(), port));
-    let gateway = Gateway::new(settings, settings::interface(), metrics)?;
+    let gateway = Gateway::new(settings, interface(), metrics)?;
     runtime::block_on(async move {
         let signals = (runtime::stop_on_signals()?, runtime::reloads_on_signals()?);
-        let reread = move || settings::read(&path, settings::decode_gateway);
         gateway.run(signals.0, signals.1, reread).await
     })?;
     Ok(crate::DONE)
--- a/crates/filberttrail-cli/src/commands/run/rebalancer.rs
+++ b/crates/filberttrail-cli/src/commands/run/rebalancer.rs
@@ -2,10 +2,11 @@
 
 use crate::arguments::Arguments;
 use crate::command::{Command, Example};
-use crate::runtime;
+use crate::{runtime, settings};
 use filberttrail_kernel::Result;
 use filberttrail_kernel::plugin::inventory;
-use filberttrail_platform::{engine, settings};
+use filberttrail_platform::engine;
+use filberttrail_platform::settings::decode_rebalancer;
 use filberttrail_rebalance::Rebalancer;
 
 inventory::submit! {
@@ -26,21 +27,12 @@
 }
 
 fn run(arguments: &mut Arguments) -> Result<u8> {
-    let path = match arguments.optional::<String>("--settings")? {
-        Some(path) => path,
-        None => settings::path()?,
-    };
-    let check = arguments.flag("--check");
-    arguments.finish()?;
-    let settings = settings::read(&path, settings::decode_rebalancer)?;
-    if check {
-        println!("settings are in order");
+    let Some((settings, reread)) = settings::take(arguments, decode_rebalancer)? else {
         return Ok(crate::DONE);
-    }
+    };
     let rebalancer = Rebalancer::new(settings, engine::interface());
     runtime::block_on(async move {
         let signals = (runtime::stop_on_signals()?, runtime::reloads_on_signals()?);
-        let reread = move || settings::read(&path, settings::decode_rebalancer);
         rebalancer.run(signals.0, signals.1, reread).await
     })?;
     Ok(crate::DONE)
--- a/crates/filberttrail-cli/src/lib.rs
+++ b/crates/filberttrail-cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod commands;
 pub mod logging;
 pub mod runtime;
+pub mod settings;
 
 pub use command::Command;
 
--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -18,9 +18,8 @@
     let read = hub.interface.read_upstream;
     let mut events = objects.follow(kind, wake);
     while let Some(event) = events.recv().await {
-        note_progress(&hub, &event, |progress| &mut progress.upstreams);
-        match event {
-            Event::All(all, _) => {
+        match news(&hub, kind, |progress| &mut progress.upstreams, event) {
+            Some(News::All(all)) => {
                 let known = all.iter().filter_map(|object| {
                     let upstream = read(&object.name, &object.value);
                     if upstream.is_none() {
@@ -30,7 +29,7 @@
                 });
                 hub.set_upstreams(known.collect());
             }
-            Event::Changed(changes, _) => {
+            Some(News::Changed(changes)) => {
                 for change in last_of_each(changes) {
                     let object = &change.object;
                     let upstream = read(&object.name, &object.value);
@@ -45,8 +44,7 @@
                     }
                 }
             }
-            Event::Lost(fault) => hub.note_store(kind, Some(fault)),
-            Event::Regained => hub.note_store(kind, None),
+            None => {}
         }
     }
 }
@@ -56,22 +54,14 @@
     let (kind, name) = hub.interface.configuration;
     let mut events = objects.follow(kind, wake);
     while let Some(event) = events.recv().await {
-        note_progress(&hub, &event, |progress| &mut progress.configuration);
-        let object = match event {
-            Event::All(all, _) => all.into_iter().rfind(|object| object.name == name),
-            Event::Changed(changes, _) => changes
+        let object = match news(&hub, kind, |progress| &mut progress.configuration, event) {
+            Some(News::All(all)) => all.into_iter().rfind(|object| object.name == name),
+            Some(News::Changed(changes)) => changes
                 .into_iter()
                 .filter(|change| !change.removed)
                 .map(|change| change.object)
                 .rfind(|object| object.name == name),
-            Event::Lost(fault) => {
-                hub.note_store(kind, Some(fault));
-                continue;
-            }
-            Event::Regained => {
-                hub.note_store(kind, None);
-                continue;
-            }
+            None => None,
         };
         let Some(object) = object else { continue };
         match (hub.interface.read_configuration)(&object.value) {
@@ -94,10 +84,9 @@
     let mut events = objects.follow(kind, wake);
     let mut outs = BTreeSet::new();
     while let Some(event) = events.recv().await {
-        note_progress(&hub, &event, |progress| &mut progress.outs);
-        match event {
-            Event::All(all, _) => outs = all.into_iter().map(|object| object.name).collect(),
-            Event::Changed(changes, _) => {
+        match news(&hub, kind, |progress| &mut progress.outs, event) {
+            Some(News::All(all)) => outs = all.into_iter().map(|object| object.name).collect(),
+            Some(News::Changed(changes)) => {
                 for change in changes {
                     match change.removed {
                         true => outs.remove(&change.object.name),
@@ -105,14 +94,7 @@
                     };
                 }
             }
-            Event::Lost(fault) => {
-                hub.note_store(kind, Some(fault));
-                continue;
-            }
-            Event::Regained => {
-                hub.note_store(kind, None);
-                continue;
-            }
+            None => continue,
         }
         hub.set_outs(outs.iter().cloned().collect());
     }
@@ -160,15 +142,42 @@
     last.into_values().collect()
 }
 
-fn note_progress(hub: &Hub, event: &Event, pick: fn(&mut Progress) -> &mut Revision) {
-    let (seen, changed) = match event {
-        Event::All(all, seen) => (*seen, all.iter().map(|object| object.revision).max()),
+/// What an event says of objects.
+enum News {
+    /// These are all.
+    All(Vec<Object>),
+    /// These changed.
+    Changed(Vec<Change>),
+}
+
+/// Notes what an event says of the store and of how far it has been followed, and returns what it says
+/// of objects.
+fn news(
+    hub: &Hub,
+    kind: &'static str,
+    pick: fn(&mut Progress) -> &mut Revision,
+    event: Event,
+) -> Option<News> {
+    let (news, seen, changed) = match event {
+        Event::All(all, seen) => {
+            let changed = all.iter().map(|object| object.revision).max();
+            (News::All(all), seen, changed)
+        }
         Event::Changed(changes, seen) => {
-            (*seen, changes.iter().map(|change| change.object.revision).max())
+            let changed = changes.iter().map(|change| change.object.revision).max();
+            (News::Changed(changes), seen, changed)
+        }
+        Event::Lost(fault) => {
+            hub.note_store(kind, Some(fault));
+            return None;
+        }
+        Event::Regained => {
+            hub.note_store(kind, None);
+            return None;
         }
-        Event::Lost(_) | Event::Regained => return,
     };
     hub.note_progress(pick, seen, changed.unwrap_or_default().min(seen));
+    Some(news)
 }
 
 fn note_unreadable(hub: &Hub, kind: &str, object: &Object) {
--- a/crates/filberttrail-rebalance/src/engine.rs
+++ b/crates/filberttrail-rebalance/src/engine.rs
@@ -3,8 +3,8 @@
 use crate::Interface;
 use crate::order::Sealed;
 use crate::report::{Counts, Holding, Report};
-use filberttrail_web::{Body, Client};
-use hyper::{Method, Request};
+use filberttrail_web::Client;
+use hyper::Method;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -73,14 +73,7 @@
         body: Vec<u8>,
         patience: Duration,
     ) -> Result<hyper::Response<bytes::Bytes>, String> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(hyper::header::HOST, self.address.to_string())
-            .header(hyper::header::CONTENT_TYPE, "application/json")
-            .body(Body::new(body))
-            .map_err(|fault| fault.to_string())?;
-        let answer = self.client.fetch(self.address, request, patience, ANSWER_LIMIT).await;
-        answer.map_err(|fault| fault.to_string())
+        let answer = self.client.call(self.address, method, path, body, patience, ANSWER_LIMIT);
+        answer.await.map_err(|fault| fault.to_string())
     }
 }
--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -1,6 +1,6 @@
 //! The processes, stand-ins and links of a soak, and what is done to them.
 
-use crate::evidence::{Evidence, Key, Leave, Out, Run, Span, Stop, Touched};
+use crate::evidence::{Evidence, Key, LEAVE_SHOWN, Leave, Out, Run, Span, Stop, Touched};
 use crate::fault::{Ailment, Fault, Harm, Path};
 use crate::link::Link;
 use crate::plan::Size;
@@ -32,9 +32,6 @@
 const WORK: Duration = Duration::from_millis(15);
 /// The same while it is slow.
 const SLOW_WORK: Duration = Duration::from_millis(600);
-/// From the notice of an upstream's leaving to its end: the time that the rest may take, and half a
-/// second.
-const LEAVE_TIME: Duration = Duration::from_millis(3_500);
 /// How long callers have a new key before the former one is revoked.
 const KEY_OVERLAP: Duration = Duration::from_millis(1_200);
 /// How long an upstream misbehaves at most.
@@ -292,7 +289,7 @@
                 Some(Touched::Upstream(place))
             }
             Fault::Leave(place) => {
-                self.replace(place, true, LEAVE_TIME).await;
+                self.replace(place, true, LEAVE_SHOWN).await;
                 None
             }
             Fault::ReplaceKey => {
@@ -388,11 +385,15 @@
     async fn take_out(&self, data_centre: usize, lasting: Duration) {
         let Ok(_out) = self.outs[data_centre].try_lock() else { return };
         self.store.write(OUTS, DATA_CENTRES[data_centre], json!({}));
-        let from = self.now();
+        let out = Out { data_centre, from: self.now(), to: Duration::MAX };
+        let number = {
+            let mut evidence = self.evidence();
+            evidence.outs.push(out);
+            evidence.outs.len() - 1
+        };
         tokio::time::sleep(lasting).await;
-        let to = self.now();
+        self.evidence().outs[number].to = self.now();
         self.store.remove(OUTS, DATA_CENTRES[data_centre]);
-        self.evidence().outs.push(Out { data_centre, from, to });
     }
 
     /// Ends all processes, and returns the evidence.
--- a/crates/filberttrail-soak/src/evidence.rs
+++ b/crates/filberttrail-soak/src/evidence.rs
@@ -3,6 +3,10 @@
 use filberttrail_platform_stand_in::Kind;
 use std::time::Duration;
 
+/// For how long after an upstream's notice its leaving counts as tried: the time that the rest of its
+/// work may take, and half a second.
+pub const LEAVE_SHOWN: Duration = Duration::from_millis(3_500);
+
 /// How a request ended, as its caller saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -156,6 +160,12 @@
 }
 
 impl Evidence {
+    /// Tells whether any upstream had left, or any data centre was out, at a time.
+    pub fn is_any_away(&self, at: Duration) -> bool {
+        let left = self.leaves.iter().any(|leave| (leave.at..leave.at + LEAVE_SHOWN).contains(&at));
+        left || self.outs.iter().any(|out| (out.from..out.to).contains(&at))
+    }
+
     /// Tells whether no unplanned disturbance touched something in a span of time.
     pub fn is_calm(&self, touched: Touched, from: Duration, to: Duration) -> bool {
         !self.spans.iter().any(|span| {
--- a/crates/filberttrail-soak/src/mutant.rs
+++ b/crates/filberttrail-soak/src/mutant.rs
@@ -1,8 +1,9 @@
 //! Gateways with a mechanism missing, to show that the soak sees what it prevents.
 
 use derive_more::Display;
-use filberttrail_fleet::Configuration;
 use filberttrail_fleet::route::Kind;
+use filberttrail_fleet::upstream::State;
+use filberttrail_fleet::{Configuration, Upstream};
 use filberttrail_gateway::{Interface, Settings};
 use filberttrail_kernel::{Error, Result};
 use hyper::header::CONTENT_LENGTH;
@@ -26,10 +27,17 @@
     /// The removal of keys that the configuration no longer holds.
     #[display("revocation")]
     Revocation,
+    /// The word of upstreams that they leave.
+    #[display("leaving")]
+    Leaving,
+    /// The word of operators that a data centre is out of service.
+    #[display("outs")]
+    Outs,
 }
 
 /// Every one of them.
-pub const ALL: [Mutant; 4] = [Mutant::Drain, Mutant::Proof, Mutant::Once, Mutant::Revocation];
+pub const ALL: [Mutant; 6] =
+    [Mutant::Drain, Mutant::Proof, Mutant::Once, Mutant::Revocation, Mutant::Leaving, Mutant::Outs];
 
 impl Mutant {
     /// Finds a mutant by what it lacks.
@@ -49,6 +57,9 @@
             Self::Proof => interface.headers.signature = CONTENT_LENGTH,
             Self::Once => interface.read_configuration = read_all_repeatable,
             Self::Revocation => interface.read_configuration = read_with_former_keys,
+            Self::Leaving => interface.read_upstream = read_as_ready,
+            // A kind that nobody writes.
+            Self::Outs => interface.outs = "filberttrail-no-outs",
         }
     }
 }
@@ -57,6 +68,11 @@
     (filberttrail_platform::settings::interface().read_configuration)(value)
 }
 
+fn read_as_ready(id: &str, value: &Value) -> Option<Upstream> {
+    let read = filberttrail_platform::settings::interface().read_upstream;
+    Some(Upstream { state: State::Ready, ..read(id, value)? })
+}
+
 fn read_all_repeatable(value: &Value) -> Option<(Configuration, usize)> {
     let (mut configuration, unread) = read(value)?;
     for route in &mut configuration.routes {
--- a/crates/filberttrail-soak/src/run.rs
+++ b/crates/filberttrail-soak/src/run.rs
@@ -95,8 +95,8 @@
         });
     }
     while callers.join_next().await.is_some() {}
-    let mut evidence = estate.end().await;
     faults.shutdown().await;
+    let mut evidence = estate.end().await;
     evidence.calm_from = offset + plan.calm_from;
     let report = verdict::judge(settings.seed, &evidence, &BOUNDS);
     if report.violations() == 0 && !settings.keeps {
--- a/crates/filberttrail-soak/src/verdict.rs
+++ b/crates/filberttrail-soak/src/verdict.rs
@@ -197,8 +197,12 @@
                 && attempt.sent > out.from + bounds.out
                 && run.at < out.to
         });
-        let broken = (left || out) && is_bound(evidence, attempt, bounds);
-        promise.case(broken.then(|| format!("{run:?} of {attempt:?}")));
+        if left || out {
+            let broken = is_bound(evidence, attempt, bounds);
+            promise.case(broken.then(|| format!("{run:?} of {attempt:?}")));
+        } else if evidence.is_any_away(run.at) {
+            promise.case(None);
+        }
     }
     promise
 }
--- a/crates/filberttrail-soak/tests/mutants.rs
+++ b/crates/filberttrail-soak/tests/mutants.rs
@@ -62,3 +62,15 @@
 async fn keys_that_are_never_revoked_are_found() {
     check(Mutant::Revocation, "keys are in force in time", &[(1_000, Fault::ReplaceKey)]).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_for_upstreams_that_leave_is_found() {
+    let faults = [(5_000, Fault::Leave(0)), (5_000, Fault::Leave(1))];
+    check(Mutant::Leaving, "what leaves or is out stays quiet", &faults).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_for_data_centres_that_are_out_is_found() {
+    let faults = [(5_000, Fault::Out(0, 8_000 * MS))];
+    check(Mutant::Outs, "what leaves or is out stays quiet", &faults).await;
+}
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -5,8 +5,8 @@
 use crate::follow::jitter;
 use bytes::Bytes;
 use filberttrail_kernel::{Error, Result};
-use filberttrail_web::{Body, Client};
-use hyper::{Method, Request, StatusCode};
+use filberttrail_web::Client;
+use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -280,16 +280,8 @@
         patience: Duration,
     ) -> Result<hyper::Response<Bytes>> {
         let help = "check the store's address and health";
-        let builder = Request::builder().method(method).uri(path);
-        let builder = builder.header(hyper::header::HOST, self.address.to_string());
-        let body = if body.is_empty() {
-            builder.body(Body::empty())
-        } else {
-            builder.header(hyper::header::CONTENT_TYPE, "application/json").body(Body::new(body))
-        };
-        let request = body.map_err(|fault| Error::platform(path, fault, help))?;
-        let answer = self.client.fetch(self.address, request, patience, ANSWER_LIMIT).await;
-        answer.map_err(|fault| Error::platform(path, fault, help).into())
+        let answer = self.client.call(self.address, method, path, body, patience, ANSWER_LIMIT);
+        answer.await.map_err(|fault| Error::platform(path, fault, help).into())
     }
 }
 
--- a/crates/filberttrail-web/src/client.rs
+++ b/crates/filberttrail-web/src/client.rs
@@ -113,6 +113,28 @@
         }
     }
 
+    /// Sends JSON, or no body if it is empty, and reads the whole answer, within a time and a size.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        method: hyper::Method,
+        path: &str,
+        body: Vec<u8>,
+        patience: Duration,
+        limit: usize,
+    ) -> Result<hyper::Response<Bytes>, Failure> {
+        let mut request = hyper::Request::builder()
+            .method(method)
+            .uri(path)
+            .header(hyper::header::HOST, address.to_string());
+        if !body.is_empty() {
+            request = request.header(hyper::header::CONTENT_TYPE, "application/json");
+        }
+        let request = request.body(Body::new(body));
+        let request = request.map_err(|fault| Failure { sent: false, fault: fault.to_string() })?;
+        self.fetch(address, request, patience, limit).await
+    }
+
     fn take(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock().ok()?;
         let senders = idle.get_mut(&address)?;
