--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -2,34 +2,38 @@
 
 use crate::evidence::{Evidence, Key, LEAVE_SHOWN, Leave, Out, Run, Span, Stop, Touched};
 use crate::fault::{Ailment, Fault, Harm, Path};
-use crate::link::Link;
+use crate::gateway::Gateway;
+use crate::place::Place;
 use crate::plan::Size;
 use crate::run::Settings;
 use crate::verdict::Bounds;
 use filberttrail_kernel::{Error, Result};
 use filberttrail_platform::store::{CONFIGURATION, IN_FORCE, OUTS, UPSTREAMS};
 use filberttrail_platform_stand_in::store::Mode;
-use filberttrail_platform_stand_in::{Script, Store, Upstream, caller};
-use filberttrail_test_support::process::{Process, ProcessSignal, free_ports};
+use filberttrail_platform_stand_in::{Script, Store, caller};
+use filberttrail_test_support::process::ProcessSignal;
 use serde_json::json;
-use std::fs::File;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Names of the data centres.
-const DATA_CENTRES: [&str; 2] = ["noord", "zuid"];
+pub const DATA_CENTRES: [&str; 2] = ["noord", "zuid"];
 /// The service behind all routes.
-const SERVICE: &str = "desk";
+pub const SERVICE: &str = "desk";
 /// How long a stop may take.
 pub const GRACE: Duration = Duration::from_secs(8);
 /// Pause before a process is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// How long all gateways may take to be ready at first: a store's answer and a start, on a busy machine.
+const START_WAIT: Duration = Duration::from_secs(30);
+/// How long the question whether a gateway is ready may take, and bytes of its answer.
+const READY_WAIT: Duration = Duration::from_secs(1);
+const READY_LIMIT: usize = 1_024;
 /// How often a process is looked at.
 const LOOK: Duration = Duration::from_millis(10);
 /// How long an upstream usually works on an answer, or on an event of a stream.
-const WORK: Duration = Duration::from_millis(15);
+pub const WORK: Duration = Duration::from_millis(15);
 /// The same while it is slow.
 const SLOW_WORK: Duration = Duration::from_millis(600);
 /// How long callers have a new key before the former one is revoked.
@@ -54,26 +58,6 @@
     place % DATA_CENTRES.len()
 }
 
-/// A gateway's process and links.
-pub struct Gateway {
-    /// Where callers connect.
-    pub front: Link,
-    ready: SocketAddr,
-    store: Link,
-    process: Mutex<Option<Process>>,
-    /// Counts its processes.
-    pub life: AtomicUsize,
-    asked: AtomicBool,
-}
-
-struct Place {
-    link: Link,
-    upstream: Upstream,
-    replaced: usize,
-    /// All upstreams that stood here.
-    all: Vec<Upstream>,
-}
-
 /// An estate under soak.
 pub struct Estate {
     settings: Settings,
@@ -106,38 +90,14 @@
         std::fs::create_dir_all(&folder).map_err(|wrong| fault("folder", wrong))?;
         let store = Store::start().await;
         let mut gateways = Vec::new();
-        for _ in 0..size.gateways {
-            let [front, ready] = [0; 2].map(|_| local(free_ports(1)[0]));
-            gateways.push(Gateway {
-                front: Link::start(front).await.map_err(|wrong| fault("link", wrong))?,
-                ready,
-                store: Link::start(store.address).await.map_err(|wrong| fault("link", wrong))?,
-                process: Mutex::new(None),
-                life: AtomicUsize::new(0),
-                asked: AtomicBool::new(false),
-            });
-            let place = gateways.len() - 1;
-            let internal = free_ports(1)[0];
-            let retries = bounds.retries;
-            let wire = caller::gateway_settings(
-                &format!("gateway-{place}"),
-                DATA_CENTRES[data_centre(place)],
-                [front, ready],
-                [internal, internal],
-                gateways[place].store.address,
-                caller::bounds(GRACE, retries.ratio, retries.slack, retries.span),
-            );
-            let path = folder.join(format!("gateway-{place}.json"));
-            std::fs::write(path, wire.to_string()).map_err(|wrong| fault("settings", wrong))?;
+        for place in 0..size.gateways {
+            let started = Gateway::new(&settings, place, store.address, bounds.retries).await;
+            gateways.push(started.map_err(|wrong| fault("gateway", wrong))?);
         }
         let mut places = Vec::new();
         for index in 0..size.upstreams {
-            let upstream = Upstream::start(&format!("upstream-{index}-0")).await;
-            upstream.set_work(WORK);
-            let link = Link::start(upstream.address).await.map_err(|wrong| fault("link", wrong))?;
-            let all = vec![upstream.clone()];
-            let place = Place { link, upstream, replaced: 0, all };
-            register(&store, &place, index, "ready");
+            let place = Place::new(index).await.map_err(|wrong| fault("link", wrong))?;
+            place.register(&store, "ready");
             places.push(tokio::sync::Mutex::new(place));
         }
         store.write(CONFIGURATION, IN_FORCE, caller::configuration(1, &[&key_text(0)]));
@@ -177,18 +137,22 @@
         let path = filberttrail_platform::settings::READINESS_PATH;
         for gateway in &self.gateways {
             loop {
-                let request = hyper::Request::get(path).header("host", "gateway");
-                let request = request.body(filberttrail_web::Body::empty());
-                let request = request.map_err(|wrong| fault("request", wrong))?;
-                let asked = client.fetch(gateway.ready, request, Duration::from_secs(1), 1_024);
+                let asked = client.call(
+                    gateway.ready,
+                    hyper::Method::GET,
+                    path,
+                    Vec::new(),
+                    READY_WAIT,
+                    READY_LIMIT,
+                );
                 if asked.await.is_ok_and(|answer| answer.status().is_success()) {
                     break;
                 }
-                if self.now() > Duration::from_secs(30) {
+                if self.now() > START_WAIT {
                     let help = "see its log in the run's folder";
                     return Err(Error::system("gateway", "it is not ready", help).into());
                 }
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                tokio::time::sleep(LOOK).await;
             }
         }
         Ok(())
@@ -200,8 +164,8 @@
         while !self.ending.load(Ordering::Relaxed) {
             let life = gateway.life.fetch_add(1, Ordering::Relaxed) + 1;
             gateway.asked.store(false, Ordering::Relaxed);
-            match self.spawn(place, life) {
-                Ok(process) => *lock(&gateway.process) = Some(process),
+            match gateway.spawn(&self.settings, life) {
+                Ok(()) => {}
                 Err(wrong) => {
                     self.evidence().own_ends.push(format!("gateway {place}: {wrong}"));
                     return;
@@ -212,7 +176,7 @@
             let touched = Touched::Gateway(place);
             self.evidence().spans.push(Span { from: now, to: now, touched, planned: false });
             let status = loop {
-                if let Some(status) = lock(&gateway.process).as_mut().and_then(Process::ended) {
+                if let Some(status) = gateway.ended() {
                     break status;
                 }
                 tokio::time::sleep(LOOK).await;
@@ -225,47 +189,30 @@
         }
     }
 
-    fn spawn(&self, place: usize, life: usize) -> std::io::Result<Process> {
-        let log = File::create(self.settings.folder.join(format!("gateway-{place}-{life}.log")))?;
-        let path = self.settings.folder.join(format!("gateway-{place}.json")).display().to_string();
-        let mut arguments = vec!["gateway", "--settings", path.as_str()];
-        let mutant = self.settings.mutant.map(|mutant| mutant.to_string());
-        if let Some(mutant) = &mutant {
-            arguments.extend(["--without", mutant.as_str()]);
-        }
-        Process::start_logged(&self.settings.program, &arguments, log)
-    }
-
-    fn signal(&self, place: usize, signal: ProcessSignal) {
-        if let Some(process) = lock(&self.gateways[place].process).as_ref() {
-            process.signal(signal);
-        }
-    }
-
     /// Brings a fault about, and sees it to its end.
     pub async fn act(self: Arc<Self>, fault: Fault) {
         let from = self.now();
         let touched = match fault {
             Fault::Kill(place) => {
                 self.gateways[place].asked.store(true, Ordering::Relaxed);
-                self.signal(place, ProcessSignal::SIGKILL);
+                self.gateways[place].signal(ProcessSignal::SIGKILL);
                 Some(Touched::Gateway(place))
             }
             Fault::Freeze(place, lasting) => {
-                self.signal(place, ProcessSignal::SIGSTOP);
+                self.gateways[place].signal(ProcessSignal::SIGSTOP);
                 tokio::time::sleep(lasting).await;
-                self.signal(place, ProcessSignal::SIGCONT);
+                self.gateways[place].signal(ProcessSignal::SIGCONT);
                 Some(Touched::Gateway(place))
             }
             Fault::Stop(place) => {
                 let life = self.gateways[place].life.load(Ordering::Relaxed);
                 self.gateways[place].asked.store(true, Ordering::Relaxed);
-                self.signal(place, ProcessSignal::SIGTERM);
+                self.gateways[place].signal(ProcessSignal::SIGTERM);
                 self.evidence().stops.push(Stop { gateway: place, life, at: from });
                 None
             }
             Fault::Reload(place) => {
-                self.signal(place, ProcessSignal::SIGHUP);
+                self.gateways[place].signal(ProcessSignal::SIGHUP);
                 None
             }
             Fault::Link(path, harm, lasting) => Some(self.harm(path, harm, lasting).await),
@@ -348,7 +295,7 @@
         // One that is being replaced is left alone.
         let Ok(mut place) = self.places[index].try_lock() else { return };
         if notice {
-            register(&self.store, &place, index, "draining");
+            place.register(&self.store, "draining");
             let leave = Leave { instance: place.upstream.id.clone(), at: self.now() };
             self.evidence().leaves.push(leave);
         } else {
@@ -357,13 +304,8 @@
         tokio::time::sleep(lasting).await;
         self.store.remove(UPSTREAMS, &place.upstream.id);
         place.upstream.end();
-        place.replaced += 1;
-        let next = Upstream::start(&format!("upstream-{index}-{}", place.replaced)).await;
-        next.set_work(WORK);
-        place.link.turn_to(next.address);
-        place.all.push(next.clone());
-        place.upstream = next;
-        register(&self.store, &place, index, "ready");
+        place.replace().await;
+        place.register(&self.store, "ready");
     }
 
     async fn replace_key(&self) {
@@ -399,10 +341,10 @@
     /// Ends all processes, and returns the evidence.
     pub async fn end(&self) -> Evidence {
         self.ending.store(true, Ordering::Relaxed);
-        for (place, gateway) in self.gateways.iter().enumerate() {
+        for gateway in &self.gateways {
             gateway.asked.store(true, Ordering::Relaxed);
-            self.signal(place, ProcessSignal::SIGCONT);
-            self.signal(place, ProcessSignal::SIGKILL);
+            gateway.signal(ProcessSignal::SIGCONT);
+            gateway.signal(ProcessSignal::SIGKILL);
         }
         let mut evidence = std::mem::take(&mut *self.evidence());
         for (index, place) in self.places.iter().enumerate() {
@@ -419,19 +361,3 @@
         evidence
     }
 }
-
-fn local(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
-fn lock(process: &Mutex<Option<Process>>) -> MutexGuard<'_, Option<Process>> {
-    process.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Writes the registration of a place's upstream, under the address of its link.
-fn register(store: &Store, place: &Place, index: usize, state: &str) {
-    let mut registration = place.upstream.registration(SERVICE, DATA_CENTRES[data_centre(index)]);
-    registration["address"] = place.link.address.to_string().into();
-    registration["state"] = state.into();
-    store.write(UPSTREAMS, &place.upstream.id, registration);
-}
