Relay a coordinator's calls and compute maps by differences

Ruled out: slower rounds alone; they leave the prepared map (7 KB a rank) on one link. Change: ranks are called in about the square root of their number of branches, whose first rank forwards the call and adds up counts (fanout); ranks send increments instead of totals (sampler); reports travel without field names; the map in use is remembered instead of read again; a switch goes on with the reports in the answers to its orders; the search for a better map updates sums instead of computing all ranks anew for each move.

--- a/crates/filberttrail-place/src/lib.rs
+++ b/crates/filberttrail-place/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod never;
 pub mod placer;
 pub mod popularity;
+pub(crate) mod rank_times;
 pub mod spread;
 
 pub use allowance::Allowance;
--- a/crates/filberttrail-place/src/map.rs
+++ b/crates/filberttrail-place/src/map.rs
@@ -64,6 +64,19 @@
         counts
     }
 
+    /// Lists the ranks that hold each expert, in ascending order.
+    pub fn holders(&self) -> Vec<Vec<usize>> {
+        let mut holders = vec![Vec::new(); self.experts as usize];
+        for (rank, held) in self.ranks.iter().enumerate() {
+            for expert in held {
+                if let Some(ranks) = holders.get_mut(*expert as usize) {
+                    ranks.push(rank);
+                }
+            }
+        }
+        holders
+    }
+
     /// Returns the load of each rank, when the load of an expert is divided equally between its
     /// replicas. Loads have the unit of `popularity`.
     pub fn loads(&self, popularity: &[f64]) -> Vec<f64> {
--- a/crates/filberttrail-place/src/spread.rs
+++ b/crates/filberttrail-place/src/spread.rs
@@ -8,9 +8,8 @@
 //! that has another replica.
 
 use crate::map::{Expert, Map};
+use crate::rank_times::{self, RankTimes};
 
-/// Exponent of the rank times in the cost. A high exponent makes the longest time dominate.
-const LOAD_EXPONENT: i32 = 8;
 /// Minimum reduction of a layer's cost by one move, relative to an evenly loaded layer. With a
 /// higher minimum, stable maps stay further above a full repack than the target of 5%.
 const MIN_GAIN: f64 = 0.002;
@@ -136,58 +135,70 @@
 }
 
 impl Layer<'_> {
-    /// Finds the move that most reduces the cost by relieving the slowest rank.
+    /// Finds the move that most reduces the cost by relieving the slowest rank. `None` if no move
+    /// reduces it enough, or if there is no load.
     fn find_best_move(&self) -> Option<Move> {
-        let replicas = self.map.replicas();
-        let loads = self.map.loads(self.popularity);
-        let rank_times = compute_rank_times(self.map, self.popularity, self.slowdowns);
-        let straggler = (0..rank_times.len())
-            .max_by(|one, other| rank_times[*one].total_cmp(&rank_times[*other]))?;
-        let before = self.estimate_longest_time(&loads)?;
-        let mut best: Option<Move> = None;
-        let mut consider = |loads: &[f64], change: Change| {
-            let Some(after) = self.estimate_longest_time(loads) else { return };
-            let gain = before - after;
-            if gain > MIN_GAIN && best.is_none_or(|best| gain > best.gain) {
-                best = Some(Move { change, gain });
+        let holders = self.map.holders();
+        let times = RankTimes::new(self.map, self.popularity, self.slowdowns)?;
+        let straggler = times.find_straggler()?;
+        let before = rank_times::estimate_longest(times.power_sum());
+        let mut best: Option<(f64, Change)> = None;
+        let mut consider = |power_sum: f64, change: Change| {
+            if best.is_none_or(|(least, _)| power_sum < least) {
+                best = Some((power_sum, change));
             }
         };
-        for expert in &self.map.ranks[straggler] {
-            let copies = replicas[*expert as usize];
+        for &expert in &self.map.ranks[straggler] {
+            let expert_holders = &holders[expert as usize];
+            let copies = expert_holders.len();
             if copies > 1 {
-                let mut loads = loads.clone();
-                self.rescale_holder_loads(&mut loads, *expert, copies, copies - 1);
-                loads[straggler] -= self.compute_replica_load(*expert, copies - 1);
-                consider(&loads, Change::Drop { rank: straggler, expert: *expert });
+                let mut dropped = times.power_sum();
+                for &rank in expert_holders {
+                    let change = match rank == straggler {
+                        true => -self.share(expert, copies),
+                        false => self.share(expert, copies - 1) - self.share(expert, copies),
+                    };
+                    dropped += times.power_difference(rank, change);
+                }
+                consider(dropped, Change::Drop { rank: straggler, expert });
+            }
+            let relief = self.share(expert, copies + 1) - self.share(expert, copies);
+            let mut relieved = times.clone();
+            for &rank in expert_holders {
+                relieved.add(rank, relief);
             }
-            let mut added = loads.clone();
-            self.rescale_holder_loads(&mut added, *expert, copies, copies + 1);
-            for rank in (0..loads.len()).filter(|rank| self.can_copy(*rank, *expert)) {
-                let mut loads = added.clone();
-                loads[rank] += self.compute_replica_load(*expert, copies + 1);
+            for rank in (0..relieved.len()).filter(|rank| self.can_copy(*rank, expert)) {
+                let gained = self.share(expert, copies + 1);
                 if self.map.ranks[rank].len() < self.constraints.slots {
-                    consider(&loads, Change::Copy { rank, expert: *expert, evicted: None });
+                    let sum = relieved.power_sum() + relieved.power_difference(rank, gained);
+                    consider(sum, Change::Copy { rank, expert, evicted: None });
                     continue;
                 }
-                for evicted in self.list_evictable(rank, &replicas) {
-                    let mut loads = loads.clone();
-                    let copies = replicas[evicted as usize];
-                    self.rescale_holder_loads(&mut loads, evicted, copies, copies - 1);
-                    loads[rank] -= self.compute_replica_load(evicted, copies - 1);
-                    let evicted = Some(evicted);
-                    consider(&loads, Change::Copy { rank, expert: *expert, evicted });
+                for evicted in self.list_evictable(rank, &holders) {
+                    let evicted_holders = &holders[evicted as usize];
+                    let copies = evicted_holders.len();
+                    let lost = self.share(evicted, copies);
+                    let spread = self.share(evicted, copies - 1) - lost;
+                    let mut sum =
+                        relieved.power_sum() + relieved.power_difference(rank, gained - lost);
+                    for &other in evicted_holders.iter().filter(|other| **other != rank) {
+                        sum += relieved.power_difference(other, spread);
+                    }
+                    consider(sum, Change::Copy { rank, expert, evicted: Some(evicted) });
                 }
             }
         }
-        best
+        let (power_sum, change) = best?;
+        let gain = before - rank_times::estimate_longest(power_sum);
+        (gain > MIN_GAIN).then_some(Move { change, gain })
     }
 
     /// Returns the experts of a rank that have other replicas and were not copied by this change.
-    fn list_evictable(&self, rank: usize, replicas: &[u32]) -> impl Iterator<Item = Expert> {
+    fn list_evictable(&self, rank: usize, holders: &[Vec<usize>]) -> impl Iterator<Item = Expert> {
         let copied_experts = &self.copied_experts[rank];
         let held = self.map.ranks[rank].iter().copied();
         held.filter(move |expert| {
-            replicas[*expert as usize] > 1 && !copied_experts.contains(expert)
+            holders[*expert as usize].len() > 1 && !copied_experts.contains(expert)
         })
     }
 
@@ -197,32 +208,8 @@
             && !self.map.ranks[rank].contains(&expert)
     }
 
-    fn compute_replica_load(&self, expert: Expert, copies: u32) -> f64 {
-        self.popularity[expert as usize] / f64::from(copies.max(1))
-    }
-
-    /// Updates the loads of an expert's holders for a change in its number of replicas.
-    fn rescale_holder_loads(&self, loads: &mut [f64], expert: Expert, from: u32, to: u32) {
-        let delta = self.compute_replica_load(expert, to) - self.compute_replica_load(expert, from);
-        for (rank, held) in self.map.ranks.iter().enumerate() {
-            if held.contains(&expert) {
-                loads[rank] += delta;
-            }
-        }
-    }
-
-    /// Returns a smooth approximation of the longest rank time, 1 for evenly loaded ranks; `None`
-    /// if there is no load.
-    fn estimate_longest_time(&self, loads: &[f64]) -> Option<f64> {
-        let speed: f64 = (0..loads.len())
-            .map(|rank| 1.0 / self.slowdowns.get(rank).copied().unwrap_or(1.0).max(1.0))
-            .sum();
-        let even_load = loads.iter().sum::<f64>() / speed;
-        let time = |(rank, load): (usize, &f64)| {
-            (load * self.slowdowns.get(rank).copied().unwrap_or(1.0) / even_load)
-                .powi(LOAD_EXPONENT)
-        };
-        let sum: f64 = loads.iter().enumerate().map(time).sum();
-        (even_load > 0.0).then(|| sum.powf(1.0 / f64::from(LOAD_EXPONENT)))
+    /// Returns the load that an expert adds to each of its holders.
+    fn share(&self, expert: Expert, copies: usize) -> f64 {
+        self.popularity[expert as usize] / copies.max(1) as f64
     }
 }
--- a/crates/filberttrail-rebalance/src/coordinator.rs
+++ b/crates/filberttrail-rebalance/src/coordinator.rs
@@ -1,13 +1,14 @@
 //! Coordinates the move of a lock-step group from one expert map to the next.
 
 use crate::election::{Election, TAKEOVER_TIMEOUT};
-use crate::engine::Engine;
+use crate::fanout;
 use crate::order::{Envelope, Order};
-use crate::peer::{self, Call, Reply, Responder};
+use crate::peer::{Call, Member, Query, Replies, Responder};
 use crate::plan::Plan;
 use crate::popularity::Estimator;
-use crate::report::{Report, Shape};
+use crate::report::{Assignment, Report, Shape, Version};
 use crate::rollout::{self, Step};
+use crate::round::Round;
 use crate::slowdown::Publisher;
 use crate::{Interface, Settings};
 use filberttrail_journal::Journal;
@@ -16,7 +17,6 @@
 use filberttrail_place::{Map, spread};
 use filberttrail_store::Objects;
 use filberttrail_store::feed::{Object, Revision, Written};
-use filberttrail_web::Client;
 use futures::future::join_all;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -40,6 +40,10 @@
 const LOSSY_PERIOD: Duration = Duration::from_millis(5_000);
 /// How long calls bypass an unresponsive rebalancer and go directly to its engine.
 const UNRESPONSIVE_PERIOD: Duration = Duration::from_millis(1_000);
+/// Maximum number of steps of a plan that follow each other without a query of all ranks.
+const STEPS_PER_ROUND: usize = 4;
+/// Maximum number of ranks that a log line lists.
+const LOGGED_RANKS: usize = 8;
 /// Minimum interval between two lookups of the ranks' addresses in the store.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Minimum relative reduction of the pass time that justifies a change. Copying slows passes by
@@ -59,7 +63,6 @@
     objects: Arc<Objects>,
     clock: clock::Shared,
     journal: Journal,
-    client: Client,
     members: BTreeMap<usize, SocketAddr>,
     last_lookup: Option<Duration>,
     /// Whether the addresses of the ranks have to be read again.
@@ -80,6 +83,8 @@
     /// Ranks whose rebalancer is bypassed, and until when.
     unresponsive_until: BTreeMap<usize, Duration>,
     last_counts_at: Duration,
+    /// The maps of all layers that the group uses, with their epoch and version.
+    current: Option<(u64, Version, Arc<Assignment>)>,
 }
 
 impl Coordinator {
@@ -100,7 +105,6 @@
             objects,
             clock,
             journal,
-            client: Client::new(),
             members: BTreeMap::new(),
             last_lookup: None,
             lookup_needed: false,
@@ -115,6 +119,7 @@
             lossy_until: Duration::ZERO,
             unresponsive_until: BTreeMap::new(),
             last_counts_at: Duration::ZERO,
+            current: None,
         }
     }
 
@@ -216,214 +221,227 @@
         Ok(())
     }
 
-    /// Requests the state of every rank. The local engine is called directly, and the other ranks
-    /// through their rebalancers. A rank whose rebalancer does not respond is called at its
-    /// engine.
-    async fn query_all(&self, own: &Report, counts: bool, holding: bool) -> Vec<Option<Reply>> {
-        let calls = (0..own.size).map(|rank| {
-            self.call_rank(own.rank, rank, Call::State { coordinator: own.rank, counts, holding })
-        });
-        join_all(calls).await
-    }
-
-    async fn call_rank(&self, own: usize, rank: usize, call: Call) -> Option<Reply> {
-        if rank == own {
-            return Some(Reply { by_rebalancer: true, ..self.responder.execute(call).await });
-        }
-        let engine = *self.members.get(&rank)?;
-        if self.unresponsive_until.get(&rank).is_some_and(|until| self.clock.now() < *until) {
-            return self.call_engine(engine, call).await;
-        }
-        let address = SocketAddr::new(engine.ip(), self.settings.listen.port());
-        match peer::send_call(&self.client, address, &call).await {
-            Ok(reply) => Some(Reply { by_rebalancer: true, ..reply }),
-            Err(error) => {
-                log::debug!("rebalancer of rank {rank} failed, calling its engine: {error}");
-                self.call_engine(engine, call).await
-            }
-        }
-    }
-
-    /// Calls the engine of a rank whose rebalancer does not respond. Its report may be slightly
-    /// outdated, which only delays decisions.
-    async fn call_engine(&self, address: SocketAddr, call: Call) -> Option<Reply> {
-        let engine = Engine::new(address, self.interface.clone());
-        match call {
-            Call::State { .. } => {
-                let report = engine.fetch_report().await.ok()?;
-                Some(Reply { report: Some(report), ..Reply::default() })
-            }
-            Call::Order { envelope, .. } => {
-                let status = engine.send_order(&envelope).await.ok();
-                Some(Reply { status, ..Reply::default() })
-            }
-        }
+    /// Requests the state of every rank.
+    async fn query_all(&mut self, own: &Report, counts: bool, holding: bool) -> Round {
+        let ranks: Vec<usize> = (0..own.size).collect();
+        self.call_ranks(own, &ranks, Query::State { counts, holding }).await
     }
 
-    fn collect_reports(&mut self, own: &Report, replies: &[Option<Reply>]) -> Vec<Option<Report>> {
+    /// Sends a query to ranks: to the local engine directly, and to the other ranks through relays.
+    /// A rank whose rebalancer did not respond shortly before is called at its engine.
+    async fn call_ranks(&mut self, own: &Report, ranks: &[usize], query: Query) -> Round {
         let now = self.clock.now();
-        for (rank, reply) in replies.iter().enumerate() {
-            if reply.as_ref().is_some_and(|reply| reply.by_rebalancer) {
-                self.unresponsive_until.remove(&rank);
-            } else if self.unresponsive_until.get(&rank).is_none_or(|until| now >= *until) {
-                self.unresponsive_until.insert(rank, now + UNRESPONSIVE_PERIOD);
+        let bypassed =
+            |rank: &usize| self.unresponsive_until.get(rank).is_some_and(|until| now < *until);
+        let others = ranks.iter().copied().filter(|rank| *rank != own.rank);
+        let (direct, relayed): (Vec<usize>, Vec<usize>) = others.partition(bypassed);
+        let member = |rank: usize| Some(Member(rank, *self.members.get(&rank)?));
+        let responder = &self.responder;
+        let branches = fanout::split(&relayed).into_iter().filter_map(|branch| {
+            let members = branch.members.into_iter().filter_map(member).collect();
+            let call = Call { coordinator: own.rank, query: query.clone(), members };
+            let relay = member(branch.relay)?;
+            Some(async move { responder.call_relay(relay, &call).await })
+        });
+        let direct = direct.into_iter().filter_map(member);
+        let direct = direct.map(|member| responder.call_engine(member, &query));
+        let local = async {
+            match ranks.contains(&own.rank) {
+                true => responder.execute_as(own.rank, &query).await,
+                false => Replies::default(),
             }
-        }
-        let report = |(rank, reply): (usize, &Option<Reply>)| {
-            let report = reply.as_ref()?.report.clone()?;
-            (report.rank == rank && report.group == own.group).then_some(report)
         };
-        replies.iter().enumerate().map(report).collect()
+        let (mut replies, relayed, direct) =
+            futures::join!(local, join_all(branches), join_all(direct));
+        relayed.into_iter().chain(direct).for_each(|part| replies.merge(part));
+        for (rank, reply) in &replies.ranks {
+            if !reply.bypassed {
+                self.unresponsive_until.remove(rank);
+            } else if self.unresponsive_until.get(rank).is_none_or(|until| now >= *until) {
+                self.unresponsive_until.insert(*rank, now + UNRESPONSIVE_PERIOD);
+            }
+        }
+        Round::new(own, replies)
     }
 
-    /// Performs the next step of the plan and returns the pause before the next round.
+    /// Performs the next steps of the plan and returns the pause before the next round.
     async fn advance_plan(&mut self, own: &Report, plan: Plan) -> Duration {
         let counts =
             plan.switch_pass.is_none() && self.clock.now() > self.last_counts_at + IDLE_INTERVAL;
-        let replies = self.query_all(own, counts, false).await;
+        let round = self.query_all(own, counts, false).await;
         if counts {
-            self.record_counts(&replies);
+            self.record_counts(&round);
         }
-        let reports = self.collect_reports(own, &replies);
+        let mut reports = round.reports;
         if reports.iter().any(Option::is_none) {
             // A rank that did not report may have moved to another address.
             self.lookup_needed = true;
         }
-        let lossy = self.clock.now() < self.lossy_until;
-        let switch_lead = if lossy { rollout::SWITCH_LEAD_LOSSY } else { rollout::SWITCH_LEAD };
-        match rollout::next_step(&plan, &reports, switch_lead) {
-            Step::Wait => {
-                self.plan = Some(plan);
-                SWITCH_INTERVAL
-            }
-            Step::Send(orders) => {
-                let copying =
-                    orders.iter().all(|(_, order)| matches!(order, Order::Prepare { .. }));
-                self.send_orders(own, &plan, orders).await;
-                self.plan = Some(plan);
-                if copying { COPY_INTERVAL } else { SWITCH_INTERVAL }
-            }
-            Step::Schedule(pass) => {
-                let plan = Plan { switch_pass: Some(pass), holder: own.rank, ..plan };
-                self.write_plan(own, plan).await;
-                Duration::ZERO
-            }
-            Step::Done => {
-                let fields = json!({
-                    "group": own.group, "epoch": plan.epoch, "version": plan.version,
-                    "switch": plan.switch_pass,
-                });
-                self.journal.record(Priority::Important, "map_switched", fields);
-                self.last_sent.clear();
-                self.propose_plan(own).await
-            }
-            Step::Stale => {
-                let fields = json!({
-                    "group": own.group, "epoch": plan.epoch, "version": plan.version,
-                });
-                self.journal.record(Priority::Important, "plan_over", fields);
-                self.last_sent.clear();
-                IDLE_INTERVAL
+        // The replies to orders contain reports, so the steps of a switch follow each other without
+        // further queries.
+        for _ in 0..STEPS_PER_ROUND {
+            let lossy = self.clock.now() < self.lossy_until;
+            let switch_lead = if lossy { rollout::SWITCH_LEAD_LOSSY } else { rollout::SWITCH_LEAD };
+            match rollout::next_step(&plan, &reports, switch_lead) {
+                Step::Wait => break,
+                Step::Send(orders) => {
+                    let copying =
+                        orders.iter().all(|(_, order)| matches!(order, Order::Prepare { .. }));
+                    let updated = self.send_orders(own, &plan, orders).await;
+                    if copying {
+                        self.plan = Some(plan);
+                        return COPY_INTERVAL;
+                    }
+                    if updated.iter().all(Option::is_none) {
+                        break;
+                    }
+                    for (report, updated) in reports.iter_mut().zip(updated) {
+                        *report = updated.or_else(|| report.take());
+                    }
+                }
+                Step::Schedule(pass) => {
+                    let plan = Plan { switch_pass: Some(pass), holder: own.rank, ..plan };
+                    self.write_plan(own, plan).await;
+                    return Duration::ZERO;
+                }
+                Step::Done => {
+                    let fields = json!({
+                        "group": own.group, "epoch": plan.epoch, "version": plan.version,
+                        "switch": plan.switch_pass,
+                    });
+                    self.journal.record(Priority::Important, "map_switched", fields);
+                    self.last_sent.clear();
+                    self.current = Some((plan.epoch, plan.version, plan.map));
+                    return Duration::ZERO;
+                }
+                Step::Stale => {
+                    let fields = json!({
+                        "group": own.group, "epoch": plan.epoch, "version": plan.version,
+                    });
+                    self.journal.record(Priority::Important, "plan_over", fields);
+                    self.last_sent.clear();
+                    return IDLE_INTERVAL;
+                }
             }
         }
+        self.plan = Some(plan);
+        SWITCH_INTERVAL
     }
 
-    async fn send_orders(&mut self, own: &Report, plan: &Plan, orders: Vec<(usize, Order)>) {
+    /// Sends the orders that are due and returns the reports of the ranks that got one, by rank.
+    async fn send_orders(
+        &mut self,
+        own: &Report,
+        plan: &Plan,
+        orders: Vec<(usize, Order)>,
+    ) -> Vec<Option<Report>> {
         let now = self.clock.now();
         let due = |(rank, order): &(usize, Order)| {
             let last = self.last_sent.get(rank);
             !last.is_some_and(|(last, at)| last == order && now < *at + choose_retry_delay(order))
         };
         let orders: Vec<(usize, Order)> = orders.into_iter().filter(due).collect();
-        let epoch = plan.epoch;
-        let sends = orders.iter().map(|(rank, order)| {
-            let envelope = Envelope { epoch, order: order.clone() };
-            self.call_rank(own.rank, *rank, Call::Order { coordinator: own.rank, envelope })
-        });
-        let replies = join_all(sends).await;
-        for ((rank, order), reply) in orders.into_iter().zip(replies) {
-            let status = reply.as_ref().and_then(|reply| reply.status);
-            if status.is_none() {
+        let mut reports = vec![None; own.size];
+        for batch in orders.chunk_by(|one, other| one.1 == other.1) {
+            let Some((_, order)) = batch.first() else { continue };
+            let ranks: Vec<usize> = batch.iter().map(|(rank, _)| *rank).collect();
+            let envelope = Envelope { epoch: plan.epoch, order: order.clone() };
+            let round = self.call_ranks(own, &ranks, Query::Order(envelope)).await;
+            let statuses: Vec<_> = ranks.iter().map(|rank| round.status(*rank)).collect();
+            if statuses.iter().any(Option::is_none) {
                 self.lossy_until = now + LOSSY_PERIOD;
             }
+            let refused: Vec<_> =
+                ranks.iter().zip(&statuses).filter(|(_, status)| **status != Some(202)).collect();
             let fields = json!({
-                "group": own.group, "epoch": epoch, "rank": rank, "version": plan.version,
-                "order": describe_order(&order), "pass": plan.switch_pass, "status": status,
-                "fault": reply.and_then(|reply| reply.error),
+                "group": own.group, "epoch": plan.epoch, "version": plan.version,
+                "order": describe_order(order), "pass": plan.switch_pass, "ranks": ranks.len(),
+                "not_begun": refused.iter().take(LOGGED_RANKS).collect::<Vec<_>>(),
+                "fault": round.first_error(),
             });
             self.journal.record(Priority::Important, "order", fields);
-            let sent_at =
-                if status.is_some() { now } else { now.saturating_sub(ORDER_RETRY_DELAY * 20) };
-            self.last_sent.insert(rank, (order, sent_at));
+            for (rank, status) in ranks.iter().zip(&statuses) {
+                let delay = if status.is_some() { Duration::ZERO } else { ORDER_RETRY_DELAY * 20 };
+                self.last_sent.insert(*rank, (order.clone(), now.saturating_sub(delay)));
+            }
+            for (report, updated) in reports.iter_mut().zip(round.reports) {
+                *report = updated.or_else(|| report.take());
+            }
         }
+        reports
     }
 
     /// Adds the ranks' expert counts to the popularity estimate.
-    fn record_counts(&mut self, replies: &[Option<Reply>]) {
+    fn record_counts(&mut self, round: &Round) {
         let Some(shape) = &self.shape else { return };
-        let counts: Vec<_> = replies
-            .iter()
-            .flatten()
-            .filter_map(|reply| Some((reply.report.as_ref()?.rank, reply.counts.clone()?)))
-            .collect();
         self.last_counts_at = self.clock.now();
-        self.popularity.observe(self.last_counts_at, &counts, shape.layers);
+        self.popularity.observe(self.last_counts_at, &round.counts, shape.layers);
     }
 
     /// Computes a better map and writes a plan for it if the expected gain justifies the copies.
     async fn propose_plan(&mut self, own: &Report) -> Duration {
         let Some(shape) = self.shape.clone() else { return IDLE_INTERVAL };
-        let replies = self.query_all(own, true, true).await;
-        let reports = self.collect_reports(own, &replies);
-        let orphaned_hold = rollout::find_orphaned_hold(&reports, None);
-        self.record_counts(&replies);
-        let replies: Vec<Reply> = replies.into_iter().flatten().collect();
-        let holdings: Vec<_> = replies.iter().filter_map(|reply| reply.holding.as_ref()).collect();
-        let is_current = |holding: &&crate::report::Holding| {
-            holding.epoch == own.epoch && holding.version == own.map
+        let known = self
+            .current
+            .as_ref()
+            .is_some_and(|(epoch, version, _)| (*epoch, *version) == (own.epoch, own.map));
+        let round = self.query_all(own, true, !known).await;
+        self.record_counts(&round);
+        let orphaned_hold = rollout::find_orphaned_hold(&round.reports, None);
+        let uses_map = |report: &Option<Report>| {
+            report.as_ref().is_some_and(|report| (report.epoch, report.map) == (own.epoch, own.map))
         };
-        let complete = reports.iter().all(Option::is_some) && holdings.len() == own.size;
-        if !complete || !holdings.iter().all(is_current) {
-            self.lookup_needed |= !complete;
+        if !round.reports.iter().all(uses_map) {
+            self.lookup_needed |= round.reports.iter().any(Option::is_none);
             return IDLE_INTERVAL;
         }
-        let maps = (0..shape.layers).map(|layer| Map {
-            experts: shape.experts as u32,
-            ranks: holdings
-                .iter()
-                .map(|holding| holding.layers.get(layer).cloned().unwrap_or_default())
-                .collect(),
-        });
-        let maps: Vec<Map> = maps.collect();
+        if !known {
+            match round.read_map(own, &shape) {
+                Some(map) => self.current = Some((own.epoch, own.map, Arc::new(map))),
+                None => return IDLE_INTERVAL,
+            }
+        }
+        let Some((_, _, map)) = &self.current else { return IDLE_INTERVAL };
+        let layer =
+            |ranks: &Vec<Vec<u32>>| Map { experts: shape.experts as u32, ranks: ranks.clone() };
+        let maps: Vec<Map> = map.iter().map(layer).collect();
         let popularity = self.popularity.layers();
         if popularity.len() != shape.layers {
             return IDLE_INTERVAL;
         }
+        // An orphaned hold is released only by a switch, so it justifies a new plan without any
+        // gain.
+        let lossy = self.clock.now() < self.lossy_until;
+        let min_gain = if lossy { MIN_GAIN_LOSSY } else { MIN_GAIN };
+        let slowdowns: Vec<f64> =
+            round.reports.iter().flatten().map(|report| report.slowdown).collect();
+        let before = spread::compute_pass_time(&maps, popularity, &slowdowns);
+        // The time of a pass with even loads is the number of layers.
+        let best = shape.layers as f64;
+        if best > before * (1.0 - min_gain) && orphaned_hold.is_none() {
+            return IDLE_INTERVAL;
+        }
         let copies = (COPY_TIME_BUDGET / shape.copy_time.max(f64::MIN_POSITIVE)).floor();
         let constraints = spread::Constraints {
             slots: shape.slots,
             copies_per_layer: shape.copies,
             copies_per_rank: copies.clamp(1.0, 1_000.0) as usize,
         };
-        let slowdowns: Vec<f64> = reports.iter().flatten().map(|report| report.slowdown).collect();
         let better = spread::spread(&maps, popularity, &slowdowns, &constraints);
-        let before = spread::compute_pass_time(&maps, popularity, &slowdowns);
         let after = spread::compute_pass_time(&better, popularity, &slowdowns);
-        // An orphaned hold is released only by a switch, so it justifies a new plan without any
-        // gain.
-        let lossy = self.clock.now() < self.lossy_until;
-        let min_gain = if lossy { MIN_GAIN_LOSSY } else { MIN_GAIN };
         if after > before * (1.0 - min_gain) && orphaned_hold.is_none() {
             return IDLE_INTERVAL;
         }
         let copies: usize =
             better.iter().zip(&maps).map(|(better, map)| better.moves_from(map)).sum();
+        let slow: Vec<(usize, f64)> =
+            slowdowns.into_iter().enumerate().filter(|(_, slowdown)| *slowdown > 1.0).collect();
         let fields = json!({
-            "group": own.group, "epoch": own.epoch, "map": own.map, "copies": copies, "paces": slowdowns,
+            "group": own.group, "epoch": own.epoch, "map": own.map, "copies": copies, "paces": slow,
             "skew_before": before / shape.layers as f64, "skew_after": after / shape.layers as f64,
         });
         self.journal.record(Priority::Important, "plan", fields);
-        let map = better.into_iter().map(|map| map.ranks).collect();
+        let map = Arc::new(better.into_iter().map(|map| map.ranks).collect());
         let plan = Plan {
             epoch: own.epoch,
             version: 0,
--- a/crates/filberttrail-rebalance/src/daemon.rs
+++ b/crates/filberttrail-rebalance/src/daemon.rs
@@ -1,7 +1,6 @@
 //! Starts the parts of a rebalancer and connects them.
 
 use crate::coordinator::Coordinator;
-use crate::engine::Engine;
 use crate::peer::{self, Responder};
 use crate::{Interface, Settings};
 use filberttrail_journal::journal::Priority;
@@ -51,8 +50,7 @@
         });
         journal.record(Priority::Important, "start", start);
         tokio::spawn(reload::run(journal.clone(), settings.clone(), reloads, reread));
-        let engine = Engine::new(settings.engine, interface.clone());
-        let responder = Arc::new(Responder::new(engine, clock.clone()));
+        let responder = Arc::new(Responder::new(&settings, interface.clone(), clock.clone()));
         let objects = Objects::new(settings.store, interface.dialect);
         let coordinator = Coordinator::new(
             settings,
--- a/crates/filberttrail-rebalance/src/lib.rs
+++ b/crates/filberttrail-rebalance/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod election;
 pub mod engine;
+pub mod fanout;
 pub mod interface;
 pub mod order;
 pub mod peer;
@@ -17,6 +18,8 @@
 pub mod popularity;
 pub mod report;
 pub mod rollout;
+pub mod round;
+pub mod sampler;
 pub mod settings;
 pub mod slowdown;
 
--- a/crates/filberttrail-rebalance/src/order.rs
+++ b/crates/filberttrail-rebalance/src/order.rs
@@ -1,7 +1,8 @@
 //! Orders that a coordinator sends to engines.
 
-use crate::report::{Pass, Version};
+use crate::report::{Assignment, Pass, Version};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// An order to an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,7 +12,7 @@
         /// The version of the map.
         version: Version,
         /// Expert numbers by layer and rank.
-        map: Vec<Vec<Vec<u32>>>,
+        map: Arc<Assignment>,
     },
     /// Schedules the switch to a prepared map for the start of a pass.
     Arm {
--- a/crates/filberttrail-rebalance/src/plan.rs
+++ b/crates/filberttrail-rebalance/src/plan.rs
@@ -1,7 +1,8 @@
 //! The stored plan of the map change that is in progress for a group.
 
-use crate::report::{Pass, Version};
+use crate::report::{Assignment, Pass, Version};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// A change of a group's map.
 ///
@@ -15,7 +16,7 @@
     /// The version of the new map.
     pub version: Version,
     /// Expert numbers by layer and rank.
-    pub map: Vec<Vec<Vec<u32>>>,
+    pub map: Arc<Assignment>,
     /// The pass from which on all ranks use the new map, once it is scheduled. It is stored before
     /// any rank is armed.
     #[serde(rename = "switch")]
--- a/crates/filberttrail-rebalance/src/report.rs
+++ b/crates/filberttrail-rebalance/src/report.rs
@@ -7,8 +7,13 @@
 /// The number of a pass: one forward pass that all ranks of a lock-step group begin together.
 pub type Pass = u64;
 
-/// The state of a rank.
+/// Expert numbers by layer and rank.
+pub type Assignment = Vec<Vec<Vec<u32>>>;
+
+/// The state of a rank. It is serialized without field names, because coordinators exchange one per
+/// rank in every round.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Row", into = "Row")]
 pub struct Report {
     /// The name of the rank's group.
     pub group: String,
@@ -21,10 +26,8 @@
     /// Whether the group is open, that is, formed and serving requests.
     pub open: bool,
     /// The incarnation of the engine process.
-    #[serde(rename = "born")]
     pub incarnation: u64,
     /// Slowdown factor: the time for the same work relative to a healthy rank, 1 or more.
-    #[serde(rename = "pace")]
     pub slowdown: f64,
     /// The last pass that the rank began.
     pub pass: Pass,
@@ -38,6 +41,77 @@
     pub held: Option<Pass>,
 }
 
+/// The fields of a report in their order.
+#[derive(Serialize, Deserialize)]
+struct Row(
+    String,
+    u64,
+    usize,
+    usize,
+    bool,
+    u64,
+    f64,
+    Pass,
+    Version,
+    Option<Version>,
+    Option<(Version, Pass)>,
+    Option<Pass>,
+);
+
+impl From<Report> for Row {
+    fn from(report: Report) -> Self {
+        let Report { group, epoch, rank, size, open, incarnation, slowdown, .. } = report;
+        let Report { pass, map, prepared, armed, held, .. } = report;
+        Self(
+            group,
+            epoch,
+            rank,
+            size,
+            open,
+            incarnation,
+            slowdown,
+            pass,
+            map,
+            prepared,
+            armed,
+            held,
+        )
+    }
+}
+
+impl From<Row> for Report {
+    fn from(row: Row) -> Self {
+        let Row(
+            group,
+            epoch,
+            rank,
+            size,
+            open,
+            incarnation,
+            slowdown,
+            pass,
+            map,
+            prepared,
+            armed,
+            held,
+        ) = row;
+        Self {
+            group,
+            epoch,
+            rank,
+            size,
+            open,
+            incarnation,
+            slowdown,
+            pass,
+            map,
+            prepared,
+            armed,
+            held,
+        }
+    }
+}
+
 /// How many times the tokens of a rank's requests selected each expert since the rank started.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
--- a/crates/filberttrail-rebalance/tests/rollout.rs
+++ b/crates/filberttrail-rebalance/tests/rollout.rs
@@ -188,7 +188,7 @@
             let plan = Plan {
                 epoch,
                 version: stored.revision + 1,
-                map: Vec::new(),
+                map: Default::default(),
                 switch_pass: None,
                 holder: index % RANKS,
                 writer: index.to_string(),
