Survive a store that comes back from a copy

Ruled out: a pair of era and revision in every type: one number with the era in its high bits orders the same way and keeps versions of maps unique. Change: the store client joins the Store-Era header to each revision, lists again on a higher era, treats writes on an older one as conflicts and drops late answers of an ended era. A plan of an older era is not continued; a switch for which ranks are armed is adopted from their reports, a plan that later maps replaced is stale, and ranks armed for a map that another can no longer switch to are disarmed.

--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -87,7 +87,13 @@
     let mut outs = BTreeSet::new();
     while let Some(event) = events.recv().await {
         match record_event(&hub, kind, |progress| &mut progress.outs, event) {
-            Some(Update::All(all)) => outs = all.into_iter().map(|object| object.name).collect(),
+            Some(Update::All(all)) => {
+                // A restored store may lack a data centre that was taken out shortly before.
+                if !hub.is_restoring() {
+                    outs.clear();
+                }
+                outs.extend(all.into_iter().map(|object| object.name));
+            }
             Some(Update::Changed(changes)) => {
                 for change in changes {
                     match change.removed {
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -7,7 +7,9 @@
 use crate::permit::Permit;
 use crate::queue_guard::QueueGuard;
 use crate::slot_request::{Refusal, SlotRequest};
-use crate::state::{PeerReport, State, is_partitioned, update_peer_requests};
+use crate::state::{
+    DEPARTED_RETENTION, PeerReport, RESTORE_GRACE, State, is_partitioned, update_peer_requests,
+};
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
 use filberttrail_fleet::snapshot::{Progress, Revision, Snapshot};
@@ -16,8 +18,9 @@
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
+use filberttrail_store::revision;
 use serde_json::json;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -192,7 +195,9 @@
         let present: HashSet<upstream::Id> =
             upstreams.iter().map(|upstream| upstream.id.clone()).collect();
         for upstream in upstreams {
-            self.set_upstream(upstream);
+            if !self.is_reverted(&upstream) {
+                self.set_upstream(upstream);
+            }
         }
         let mut state = self.lock();
         state.upstreams_known = true;
@@ -205,6 +210,53 @@
         self.request_dispatch();
     }
 
+    /// Returns whether a listed registration is one that a restored store holds from before the
+    /// upstream started to drain or left.
+    fn is_reverted(&self, upstream: &Upstream) -> bool {
+        let state = self.lock();
+        if state.restored_at.is_none() {
+            return false;
+        }
+        let departed = state.departed.get(&upstream.id);
+        let draining = state.candidates.get(&upstream.id).is_some_and(|candidate| {
+            let known = &candidate.upstream;
+            known.incarnation == upstream.incarnation
+                && known.state == upstream::State::Draining
+                && upstream.state == upstream::State::Ready
+        });
+        draining || departed.is_some_and(|(incarnation, _)| *incarnation == upstream.incarnation)
+    }
+
+    /// Returns whether the store was restored from a copy so recently that it may lack what was
+    /// written shortly before.
+    pub fn is_restoring(&self) -> bool {
+        self.lock().restored_at.is_some()
+    }
+
+    /// Records that the store was restored, if `seen` is of a later era than `previous`.
+    fn note_restore(&self, state: &mut State, previous: Revision, seen: Revision) {
+        if previous == 0 || revision::era(seen) <= revision::era(previous) {
+            return;
+        }
+        let now = self.now();
+        state.restored_at = Some(now);
+        state.upstreams_regained_at = now;
+        let fields = json!({ "era": revision::era(seen), "before": revision::era(previous) });
+        self.journal.record(Priority::Important, "store_restored", fields);
+    }
+
+    /// Returns whether the objects have to be listed again, because what a restored store lacked
+    /// should have been written again by now.
+    pub fn take_restore_end(&self) -> bool {
+        let now = self.now();
+        let mut state = self.lock();
+        let over = state.restored_at.is_some_and(|at| now >= at + RESTORE_GRACE);
+        if over {
+            state.restored_at = None;
+        }
+        over
+    }
+
     /// Adds or updates a registration.
     pub fn set_upstream(&self, upstream: Upstream) {
         let mut state = self.lock();
@@ -258,8 +310,9 @@
         if unreliable {
             candidate.missing = true;
         } else {
-            let address = candidate.upstream.address;
+            let Upstream { address, incarnation, .. } = candidate.upstream;
             state.candidates.remove(id);
+            state.departed.insert(id.to_string(), (incarnation, now));
             self.pool.close_idle(address);
         }
         drop(state);
@@ -303,6 +356,7 @@
                 self.journal.record(Priority::Important, "upstreams_lapsed", fields);
             }
         }
+        state.departed.retain(|_, (_, at)| now < *at + DEPARTED_RETENTION);
         state.peer_reports.retain(|_, report| now < report.received_at + PEER_RETENTION);
         update_peer_requests(&mut state, now);
         let partitioned = is_partitioned(&state, &self.settings.data_centre, now);
@@ -323,8 +377,9 @@
         changed: Revision,
     ) {
         let mut state = self.lock();
-        let previous = pick(&mut state.followed);
-        *previous = seen.max(*previous);
+        let previous = *pick(&mut state.followed);
+        self.note_restore(&mut state, previous, seen);
+        *pick(&mut state.followed) = seen.max(previous);
         let previous = pick(&mut state.latest_changes);
         *previous = changed.max(*previous);
     }
@@ -358,6 +413,7 @@
     pub fn merge_snapshot(&self, snapshot: Snapshot) {
         let Snapshot { seen, configuration, upstreams, outs } = snapshot;
         let own = self.followed_revisions();
+        self.note_restore(&mut self.lock(), own.upstreams, seen.upstreams);
         if seen.configuration > own.configuration
             && let Some(configuration) = configuration
         {
@@ -367,7 +423,10 @@
             self.set_upstreams(upstreams);
         }
         if seen.outs > own.outs {
-            self.set_outs(outs);
+            let kept = if self.is_restoring() { self.outs() } else { Vec::new() };
+            self.set_outs(
+                outs.into_iter().chain(kept).collect::<BTreeSet<_>>().into_iter().collect(),
+            );
         }
         let mut state = self.lock();
         state.followed = state.followed.max(&seen);
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -112,6 +112,10 @@
             let period = ADVERTISE_PERIOD * entries.max(ADVERTISE_ENTRIES) / ADVERTISE_ENTRIES;
             tokio::time::sleep(period.min(ADVERTISE_PERIOD_LIMIT)).await;
             hub.remove_expired();
+            if hub.take_restore_end() {
+                self.wakes.upstreams.notify_one();
+                self.wakes.outs.notify_one();
+            }
             let loads = hub.own_loads();
             let changed = hub.latest_changes();
             let due = round.is_multiple_of(IDLE_ROUNDS);
@@ -226,7 +230,14 @@
         while let Some(event) = events.recv().await {
             let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
             match event {
-                Event::All(all, _) => *addresses = all.iter().filter_map(decode_address).collect(),
+                Event::All(all, _) => {
+                    *addresses = all.iter().filter_map(decode_address).collect();
+                    // A restored store may lack this entry's registration.
+                    if addresses.get(&hub.settings.name) != Some(&hub.settings.peers) {
+                        let (hub, objects) = (hub.clone(), objects.clone());
+                        tokio::spawn(async move { register(&hub, &objects).await });
+                    }
+                }
                 Event::Changed(changes, _) => {
                     for change in changes {
                         match decode_address(&change.object).filter(|_| !change.removed) {
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -16,6 +16,13 @@
 /// them. Entries send messages at least every 0.4 s.
 const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Time for which a restored store may lack what was written shortly before. Upstreams and operators
+/// write it again within seconds, and registrations of upstreams that have left expire after three
+/// heartbeats. Until then, the objects of the copy do not undo what this entry knows.
+pub(crate) const RESTORE_GRACE: Duration = Duration::from_millis(6_000);
+/// Time for which departed upstreams are remembered. Copies of the store are some seconds old.
+pub(crate) const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+
 /// The last message from another entry.
 pub(crate) struct PeerReport {
     pub received_at: Duration,
@@ -51,6 +58,11 @@
     pub unavailable_kinds: HashSet<&'static str>,
     /// Time at which the store last became available again for upstreams.
     pub upstreams_regained_at: Duration,
+    /// Time at which the store was last found to be restored from a copy that lacks the latest
+    /// writes, until the objects have been listed again after [`RESTORE_GRACE`].
+    pub restored_at: Option<Duration>,
+    /// Upstreams that left, with their incarnation and the time, by id.
+    pub departed: HashMap<upstream::Id, (upstream::Incarnation, Duration)>,
     /// Whether this entry is partitioned from the other data centres.
     pub partitioned: bool,
     /// Slowdown factors of slow upstreams, by address.
--- a/crates/filberttrail-rebalance/src/coordinator.rs
+++ b/crates/filberttrail-rebalance/src/coordinator.rs
@@ -73,6 +73,8 @@
     stored_plan: Option<Object>,
     plan: Option<Plan>,
     plan_loaded: bool,
+    /// The store's era in which the plan was read or written.
+    plan_era: Option<u64>,
     /// The last order sent to each rank, and when it was sent.
     last_sent: BTreeMap<usize, (Order, Duration)>,
     /// No rounds run until this time, after another coordinator has written the plan.
@@ -113,6 +115,7 @@
             stored_plan: None,
             plan: None,
             plan_loaded: false,
+            plan_era: None,
             last_sent: BTreeMap::new(),
             standby_until: Duration::ZERO,
             slowdown_publisher,
@@ -170,12 +173,18 @@
             self.journal.record(Priority::Important, "no_members", json!({ "fault": error }));
             return IDLE_INTERVAL;
         }
+        if self.plan_loaded && self.plan_era < self.objects.era() {
+            // The store was restored from a copy and may lack the plan in progress.
+            self.plan_loaded = false;
+        }
         if !self.plan_loaded {
             match self.objects.get(KIND, &own.group).await {
                 Ok(object) => {
-                    self.plan = object.as_ref().and_then(decode_plan);
+                    let stored = object.as_ref().and_then(read_current_plan);
+                    self.plan = stored;
                     self.stored_plan = object;
                     self.plan_loaded = true;
+                    self.plan_era = self.objects.era();
                     if self.stored_plan.is_none() && !self.create_plan_object(own).await {
                         return IDLE_INTERVAL;
                     }
@@ -311,7 +320,9 @@
                     });
                     self.journal.record(Priority::Important, "map_switched", fields);
                     self.last_sent.clear();
-                    self.current = Some((plan.epoch, plan.version, plan.map));
+                    // An adopted plan has no map; the map in use is read from the ranks then.
+                    self.current =
+                        (!plan.map.is_empty()).then_some((plan.epoch, plan.version, plan.map));
                     return Duration::ZERO;
                 }
                 Step::Stale => {
@@ -388,6 +399,15 @@
         let round = self.query_all(own, true, !known).await;
         self.record_counts(&round);
         let orphaned_hold = rollout::find_orphaned_hold(&round.reports, None);
+        if let Some(plan) = rollout::adopt(&round.reports, own.epoch, own.rank) {
+            let fields = json!({
+                "group": own.group, "epoch": own.epoch, "version": plan.version,
+                "switch": plan.switch_pass,
+            });
+            self.journal.record(Priority::Important, "plan_adopted", fields);
+            self.write_plan(own, plan).await;
+            return Duration::ZERO;
+        }
         let uses_map = |report: &Option<Report>| {
             report.as_ref().is_some_and(|report| (report.epoch, report.map) == (own.epoch, own.map))
         };
@@ -510,15 +530,18 @@
     }
 }
 
-fn decode_plan(object: &Object) -> Option<Plan> {
-    serde_json::from_value(object.value.clone()).ok()
+/// Decodes a stored plan. A plan from before a restore of the store is not continued, because the
+/// copy may lack its schedule; `rollout::adopt` continues it from what the ranks report.
+fn read_current_plan(object: &Object) -> Option<Plan> {
+    let plan: Plan = serde_json::from_value(object.value.clone()).ok()?;
+    plan.is_current(object.revision).then_some(plan)
 }
 
 fn choose_retry_delay(order: &Order) -> Duration {
     match order {
         // Ranks copy for some tenths of a second before they report a map as prepared.
         Order::Prepare { .. } => ORDER_RETRY_DELAY * 20,
-        Order::Go { .. } | Order::Arm { .. } | Order::Hold { .. } => ORDER_RETRY_DELAY,
+        _ => ORDER_RETRY_DELAY,
     }
 }
 
@@ -526,6 +549,7 @@
     match order {
         Order::Prepare { .. } => "prepare",
         Order::Arm { .. } => "arm",
+        Order::Disarm { .. } => "disarm",
         Order::Hold { .. } => "hold",
         Order::Go { .. } => "go",
     }
--- a/crates/filberttrail-rebalance/src/order.rs
+++ b/crates/filberttrail-rebalance/src/order.rs
@@ -21,6 +21,11 @@
         /// The pass from which on the engine uses the map.
         pass: Pass,
     },
+    /// Cancels the switch to a map.
+    Disarm {
+        /// The version of the map.
+        version: Version,
+    },
     /// Places a hold: a barrier that keeps the whole group from beginning a pass.
     Hold {
         /// The pass that must not begin.
--- a/crates/filberttrail-rebalance/src/plan.rs
+++ b/crates/filberttrail-rebalance/src/plan.rs
@@ -1,6 +1,8 @@
 //! The stored plan of the map change that is in progress for a group.
 
 use crate::report::{Assignment, Pass, Version};
+use filberttrail_store::feed::Revision;
+use filberttrail_store::revision;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -26,3 +28,15 @@
     /// The name of the process that last wrote the plan.
     pub writer: String,
 }
+
+impl Plan {
+    /// Returns whether the plan was made in the store's current era, that of the object's revision.
+    pub fn is_current(&self, revision: Revision) -> bool {
+        revision::era(self.version) >= revision::era(revision)
+    }
+
+    /// Returns whether the plan was adopted from ranks that were armed for it, without its map.
+    pub fn is_adopted(&self) -> bool {
+        self.map.is_empty()
+    }
+}
--- a/crates/filberttrail-rebalance/src/rollout.rs
+++ b/crates/filberttrail-rebalance/src/rollout.rs
@@ -3,12 +3,12 @@
 //! Invariants: no rank is armed before the hold on the pass of the switch is reported to be in
 //! force, and the hold is released only when every rank is reported as armed. Orders that arrive
 //! late or twice have no effect, because each names its epoch, version and pass. Once a rank is
-//! armed the plan is only moved forward and never rolled back, since an order to disarm could
-//! overtake a late order to arm.
+//! armed the plan is only moved forward and not rolled back, since an order to disarm could
+//! overtake a late order to arm; `find_obsolete_arming` has the one exception.
 
 use crate::order::Order;
 use crate::plan::Plan;
-use crate::report::{Pass, Report};
+use crate::report::{Pass, Report, Version};
 
 /// Number of passes by which a switch is scheduled ahead. Placing a hold takes some milliseconds,
 /// and a pass takes some tens of milliseconds.
@@ -41,6 +41,20 @@
     if known.iter().any(|report| report.epoch > plan.epoch || !report.open) {
         return Step::Stale;
     }
+    // A store that was restored from a copy may hold a plan that a later one has replaced.
+    if known.iter().any(|report| newest_version(report) > plan.version) {
+        return Step::Stale;
+    }
+    let obsolete = find_obsolete_arming(&known, plan.version);
+    if !obsolete.is_empty() {
+        return Step::Send(obsolete);
+    }
+    // Ranks that are armed for an earlier map accept no other one until they have switched to it.
+    if let Some(earlier) = adopt(reports, plan.epoch, plan.holder)
+        && earlier.version < plan.version
+    {
+        return next_step(&earlier, reports, switch_lead);
+    }
     let all_known = known.len() == reports.len();
     let switched = |report: &Report| report.map == plan.version;
     if all_known && known.iter().all(|report| switched(report)) {
@@ -53,6 +67,10 @@
     let armed = |report: &Report| report.armed == Some((plan.version, switch_pass));
     let committed = known.iter().any(|report| armed(report) || switched(report));
     let orphaned = find_orphaned_hold(reports, Some(switch_pass));
+    if !committed && all_known && plan.is_adopted() {
+        // Without its map the plan cannot be scheduled again.
+        return Step::Stale;
+    }
     if !committed && all_known {
         if let Some((_, pass)) = orphaned {
             return Step::Schedule(pass);
@@ -79,6 +97,47 @@
     }
 }
 
+/// Returns the orders that disarm ranks which are armed for an earlier map that another rank can no
+/// longer switch to, because it has prepared a later one. Two coordinators bring that about if the
+/// store is restored from a copy that lacks the plan of the first.
+///
+/// Disarming is safe here although a late order may arm the rank again: the first coordinator
+/// releases its hold only after all ranks were armed, which that other rank never will be. Once the
+/// rank has prepared the later map, it rejects the late order.
+fn find_obsolete_arming(known: &[&Report], version: Version) -> Vec<(usize, Order)> {
+    let earlier = |report: &&Report| {
+        let (armed, _) = report.armed.filter(|(armed, _)| *armed < version)?;
+        Some((report.rank, armed))
+    };
+    let armed: Vec<(usize, Version)> = known.iter().filter_map(earlier).collect();
+    let abandoned = |armed: Version| {
+        known.iter().any(|report| report.armed.is_none() && newest_version(report) > armed)
+    };
+    let obsolete = armed.into_iter().filter(|(_, armed)| abandoned(*armed));
+    obsolete.map(|(rank, version)| (rank, Order::Disarm { version })).collect()
+}
+
+/// Returns the highest map version that a rank uses, has prepared or is armed for.
+fn newest_version(report: &Report) -> Version {
+    let armed = report.armed.map(|(version, _)| version);
+    [Some(report.map), report.prepared, armed].into_iter().flatten().max().unwrap_or_default()
+}
+
+/// Returns a plan that completes the switch for which a rank is armed although the store has no
+/// plan for it, as after a restore of the store. The plan has no map, because ranks are armed only
+/// after all ranks have prepared theirs. `None` if a rank did not report, or has prepared a later
+/// map instead.
+pub fn adopt(reports: &[Option<Report>], epoch: u64, holder: usize) -> Option<Plan> {
+    let known: Vec<&Report> =
+        reports.iter().flatten().filter(|report| report.epoch == epoch).collect();
+    let (version, pass) = known.iter().filter_map(|report| report.armed).max()?;
+    if known.len() < reports.len() || known.iter().any(|report| newest_version(report) != version) {
+        return None;
+    }
+    let map = Default::default();
+    Some(Plan { epoch, version, map, switch_pass: Some(pass), holder, writer: String::new() })
+}
+
 /// Finds the earliest hold on a pass other than `switch_pass`, as a delayed order may leave one.
 /// Returns the rank and the pass of the hold.
 ///
--- a/crates/filberttrail-rebalance/src/slowdown.rs
+++ b/crates/filberttrail-rebalance/src/slowdown.rs
@@ -32,6 +32,8 @@
     objects: Arc<Objects>,
     journal: Journal,
     published: Published,
+    /// The store's era in which `published` was written.
+    era: Option<u64>,
 }
 
 impl Publisher {
@@ -40,12 +42,19 @@
     pub fn new(settings: &Settings, objects: Arc<Objects>, journal: Journal) -> Self {
         let (name, engine) = (settings.name.clone(), settings.engine);
         let published = if settings.first_start { Published::Normal } else { Published::Unknown };
-        Self { name, engine, objects, journal, published }
+        let era = objects.era();
+        Self { name, engine, objects, journal, published, era }
     }
 
     /// Publishes the slowdown if the engine became slow, and withdraws it if the engine recovered.
     /// After a failed store call, the next report triggers a retry.
     pub async fn publish(&mut self, slowdown: f64) {
+        // A restored store may lack the latest write.
+        let era = self.objects.era();
+        let previous = std::mem::replace(&mut self.era, era);
+        if previous.is_some() && previous < era {
+            self.published = Published::Unknown;
+        }
         let current =
             if slowdown >= SLOWDOWN_THRESHOLD { Published::Slow } else { Published::Normal };
         if current == self.published {
--- a/crates/filberttrail-rebalance/tests/rollout.rs
+++ b/crates/filberttrail-rebalance/tests/rollout.rs
@@ -19,7 +19,7 @@
     Off,
 }
 
-#[derive(Clone, Default)]
+#[derive(Debug, Clone, Default)]
 struct Engine {
     map: u64,
     highest_version: u64,
@@ -77,6 +77,11 @@
                     engine.armed = Some((*version, *pass));
                 }
             }
+            Order::Disarm { version } => {
+                if engine.armed.is_some_and(|(armed, _)| armed == *version) {
+                    engine.armed = None;
+                }
+            }
             Order::Hold { pass } => {
                 if *pass > self.pass && engine.held.is_none() {
                     engine.held = Some(*pass);
@@ -116,7 +121,7 @@
 }
 
 /// The plan object in the store.
-#[derive(Clone, Default)]
+#[derive(Debug, Clone, Default)]
 struct StoredObject {
     revision: u64,
     plan: Option<Plan>,
@@ -132,6 +137,11 @@
     random: fastrand::Rng,
     group: Group,
     store: StoredObject,
+    /// Earlier states of the store, from which it may be restored.
+    copies: Vec<StoredObject>,
+    /// Number of restores, which the high bits of revisions contain.
+    era: u64,
+    restores: bool,
     coordinators: Vec<Coordinator>,
     hold_mode: HoldMode,
     switches: u64,
@@ -144,6 +154,9 @@
             random: fastrand::Rng::with_seed(seed),
             group: Group::new(),
             store: StoredObject { revision: 1, plan: None },
+            copies: Vec::new(),
+            era: 0,
+            restores: false,
             coordinators: vec![Coordinator::default(); coordinators],
             hold_mode,
             switches: 0,
@@ -163,6 +176,9 @@
             if self.faulty && self.random.u16(..) < 60 {
                 self.group.start_next_epoch();
             }
+            if self.restores && self.random.u16(..) < 400 {
+                self.restore_store();
+            }
             let index = self.random.usize(..self.coordinators.len());
             match self.random.u8(..) {
                 // The coordinator was killed, or was frozen and replaced. The new one starts from
@@ -184,11 +200,18 @@
             return;
         };
         let epoch = reports.iter().flatten().map(|report| report.epoch).max().unwrap_or(0);
-        let Some(plan) = stored.plan.clone().filter(|plan| plan.epoch == epoch) else {
+        let is_usable = |plan: &Plan| {
+            plan.epoch == epoch && (plan.is_adopted() || plan.is_current(stored.revision))
+        };
+        let Some(plan) = stored.plan.clone().filter(is_usable) else {
+            if let Some(plan) = rollout::adopt(&reports, epoch, index % RANKS) {
+                self.write_plan(index, &stored, plan);
+                return;
+            }
             let plan = Plan {
                 epoch,
                 version: stored.revision + 1,
-                map: Default::default(),
+                map: vec![vec![vec![0]; RANKS]].into(),
                 switch_pass: None,
                 holder: index % RANKS,
                 writer: index.to_string(),
@@ -219,16 +242,33 @@
                 let after = StoredObject { plan: None, ..stored };
                 self.coordinators[index].stored = Some(after);
             }
-            Step::Wait | Step::Stale => {}
+            Step::Stale => {
+                let stored = StoredObject { plan: None, ..stored };
+                self.coordinators[index].stored = Some(stored);
+            }
+            Step::Wait => {}
         }
     }
 
+    /// Replaces the store with one of its last states and starts a new era.
+    fn restore_store(&mut self) {
+        let oldest = self.copies.len().saturating_sub(4);
+        let Some(copy) = self.copies.get(oldest..).and_then(|copies| copies.first()) else {
+            return;
+        };
+        self.era += 1;
+        let revision = self.era << 40 | (copy.revision & ((1 << 40) - 1));
+        self.store = StoredObject { revision, plan: copy.plan.clone() };
+        self.copies.clear();
+    }
+
     fn write_plan(&mut self, index: usize, stored: &StoredObject, plan: Plan) {
         if stored.revision != self.store.revision {
             self.coordinators[index].stored = None;
             return;
         }
         let revision = self.store.revision + 1 + self.random.u64(..3);
+        self.copies.push(self.store.clone());
         self.store = StoredObject { revision, plan: Some(plan) };
         let lost = self.faulty && self.random.u8(..) < 20;
         self.coordinators[index].stored = (!lost).then(|| self.store.clone());
@@ -298,3 +338,31 @@
         );
     }
 }
+
+#[test]
+fn a_store_restored_from_a_copy_neither_mixes_maps_nor_blocks_the_group() {
+    let mut switches = 0;
+    let mut restores = 0;
+    for coordinators in 1..=3 {
+        for seed in 0..300 {
+            let mut simulation = Simulation::new(seed, coordinators, HoldMode::On, true);
+            simulation.restores = true;
+            simulation.run();
+            assert!(!simulation.group.saw_mixed_maps, "{coordinators} coordinators, seed {seed}");
+            switches += simulation.switches;
+            restores += simulation.era;
+            simulation.restores = false;
+            simulation.faulty = false;
+            let pass = simulation.group.pass;
+            simulation.run();
+            let blocked = simulation.group.pass <= pass + 20;
+            let (group, store) = (&simulation.group, &simulation.store);
+            assert!(
+                !blocked,
+                "{coordinators} coordinators, seed {seed}: stuck at pass {pass}, {:?}, {store:?}",
+                group.engines
+            );
+        }
+    }
+    assert!(switches > 1_000 && restores > 1_000, "{switches} switches, {restores} restores");
+}
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -1,9 +1,10 @@
 //! A client of an object store that lists all objects of a kind and then watches for changes.
 //!
-//! Revisions never decrease. If the store has discarded the history since the last revision seen,
-//! the objects are listed again.
+//! Revisions never decrease. If the store has discarded the history since the last revision seen, or
+//! was restored from a copy, the objects are listed again.
 
 use crate::follow::jitter;
+use crate::revision;
 use bytes::Bytes;
 use filberttrail_kernel::{Error, Result};
 use filberttrail_web::Client;
@@ -11,9 +12,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
-/// The sequence number of a change in the store.
+/// The sequence number of a change in the store, with the store's era (see [`revision`]).
 pub type Revision = u64;
 
 /// The timeout of a call. The store responds within milliseconds; a slow one takes a few hundred.
@@ -36,6 +37,8 @@
 /// The store's protocol: its paths and the encoding of its requests and responses.
 #[derive(Debug, Clone, Copy)]
 pub struct Dialect {
+    /// Header of every response that counts how often the store was restored from a copy.
+    pub era_header: &'static str,
     /// Builds the path that lists the objects of a kind whose names follow `after`.
     pub list: fn(kind: &str, after: Option<&str>) -> String,
     /// Builds the path that waits for changes of a kind since the revision `after`.
@@ -123,12 +126,34 @@
     address: SocketAddr,
     dialect: Dialect,
     client: Client,
+    /// The highest era of a response so far.
+    era: watch::Sender<Option<u64>>,
+}
+
+/// A response and the era of the store that sent it.
+struct Response {
+    status: StatusCode,
+    body: Bytes,
+    era: u64,
+}
+
+impl Response {
+    fn joined(&self, object: Object) -> Object {
+        Object { revision: revision::join(self.era, object.revision), ..object }
+    }
 }
 
 impl Objects {
     /// Creates a client of the store at an address.
     pub fn new(address: SocketAddr, dialect: Dialect) -> Arc<Self> {
-        Arc::new(Self { address, dialect, client: Client::new() })
+        let (era, _) = watch::channel(None);
+        Arc::new(Self { address, dialect, client: Client::new(), era })
+    }
+
+    /// Returns the store's era as of the last response; `None` before the first one. The era rises
+    /// when the store is restored from a copy and has lost the latest writes.
+    pub fn era(&self) -> Option<u64> {
+        *self.era.borrow()
     }
 
     /// Lists all objects of a kind, page by page; returns them with the first page's revision.
@@ -140,11 +165,15 @@
             let path = (self.dialect.list)(kind, after.as_deref());
             let response = self.call(Method::GET, &path, Vec::new(), CALL_TIMEOUT).await?;
             expect_ok(kind, &response)?;
-            let page = (self.dialect.read_page)(response.body()).ok_or_else(|| malformed(kind))?;
+            let page = (self.dialect.read_page)(&response.body).ok_or_else(|| malformed(kind))?;
             // Watching from the first page's revision repeats changes made between two pages.
-            revision.get_or_insert(page.revision);
+            let first = *revision.get_or_insert(revision::join(response.era, page.revision));
+            if revision::era(first) != response.era {
+                let help = "none needed, the list is read again";
+                return Err(Error::platform(kind, "restored between two pages", help).into());
+            }
             let is_last = !page.more || page.objects.is_empty();
-            objects.extend(page.objects);
+            objects.extend(page.objects.into_iter().map(|object| response.joined(object)));
             if is_last {
                 return Ok((objects, revision.unwrap_or_default()));
             }
@@ -155,16 +184,18 @@
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>> {
         let path = (self.dialect.object)(kind, name);
         let response = self.call(Method::GET, &path, Vec::new(), CALL_TIMEOUT).await?;
-        if response.status() == StatusCode::NOT_FOUND {
+        if response.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
         expect_ok(kind, &response)?;
-        (self.dialect.read_object)(response.body()).map(Some).ok_or_else(|| malformed(kind))
+        let object = (self.dialect.read_object)(&response.body).ok_or_else(|| malformed(kind))?;
+        Ok(Some(response.joined(object)))
     }
 
     /// Creates an object, or replaces it if its revision is still `expected`.
     ///
-    /// After an error, the write may have taken effect or may still take effect later.
+    /// A revision of an earlier era counts as a conflict. After an error, the write may have taken
+    /// effect or may still take effect later.
     pub async fn put(
         &self,
         kind: &str,
@@ -172,20 +203,26 @@
         value: &serde_json::Value,
         expected: Option<Revision>,
     ) -> Result<Written> {
+        if expected.is_some_and(|expected| Some(revision::era(expected)) < self.era()) {
+            return Ok(Written::Conflict(None));
+        }
         let method = if expected.is_some() { Method::PUT } else { Method::POST };
         let path = match expected {
             Some(_) => (self.dialect.object)(kind, name),
             None => (self.dialect.list)(kind, None),
         };
-        let body = (self.dialect.write_object)(name, value, expected);
+        let body = (self.dialect.write_object)(name, value, expected.map(revision::number));
         let response = self.call(method, &path, body, CALL_TIMEOUT).await?;
-        match response.status() {
-            StatusCode::CONFLICT | StatusCode::NOT_FOUND => {
-                Ok(Written::Conflict((self.dialect.read_object)(response.body())))
-            }
+        let object = (self.dialect.read_object)(&response.body);
+        let object = object.map(|object| response.joined(object));
+        // The number of the expected revision may have been given out again in the new era.
+        if expected.is_some_and(|expected| revision::era(expected) < response.era) {
+            return Ok(Written::Conflict(object));
+        }
+        match response.status {
+            StatusCode::CONFLICT | StatusCode::NOT_FOUND => Ok(Written::Conflict(object)),
             _ => {
                 expect_ok(kind, &response)?;
-                let object = (self.dialect.read_object)(response.body());
                 object.map(Written::Done).ok_or_else(|| malformed(kind))
             }
         }
@@ -195,7 +232,7 @@
     pub async fn delete(&self, kind: &str, name: &str) -> Result<()> {
         let path = (self.dialect.object)(kind, name);
         let response = self.call(Method::DELETE, &path, Vec::new(), CALL_TIMEOUT).await?;
-        if response.status() == StatusCode::NOT_FOUND {
+        if response.status == StatusCode::NOT_FOUND {
             return Ok(());
         }
         expect_ok(kind, &response)
@@ -217,14 +254,20 @@
     }
 
     async fn run_watch(&self, kind: &str, wake: &Notify, events: &mpsc::Sender<Event>) {
-        let mut revision: Option<Revision> = None;
+        let mut last_seen: Option<Revision> = None;
         let mut delay = RETRY_DELAY;
         let mut lost = false;
+        let mut era = self.era.subscribe();
         while !events.is_closed() {
+            let seen_era = last_seen.map(revision::era);
             let result = tokio::select! {
-                result = self.poll_once(kind, &mut revision, lost, events) => result,
+                result = self.poll_once(kind, &mut last_seen, lost, events) => result,
                 () = wake.notified() => {
-                    revision = None;
+                    last_seen = None;
+                    continue;
+                }
+                _ = era.wait_for(|era| seen_era.is_some() && *era > seen_era) => {
+                    last_seen = None;
                     continue;
                 }
             };
@@ -263,15 +306,18 @@
         // After a failure, polls without waiting, so that the store's recovery is detected
         // immediately.
         let wait = if lost { Duration::ZERO } else { WATCH_DURATION };
-        let path = (self.dialect.watch)(kind, after, wait);
+        let path = (self.dialect.watch)(kind, revision::number(after), wait);
         let response = self.call(Method::GET, &path, Vec::new(), wait + CALL_TIMEOUT).await?;
-        if response.status() == StatusCode::GONE {
+        if response.status == StatusCode::GONE || response.era > revision::era(after) {
             *last_seen = None;
             return Ok(());
         }
         expect_ok(kind, &response)?;
         let Changes { changes, revision } =
-            (self.dialect.read_changes)(response.body()).ok_or_else(|| malformed(kind))?;
+            (self.dialect.read_changes)(&response.body).ok_or_else(|| malformed(kind))?;
+        let revision = revision::join(response.era, revision);
+        let joined = |change: Change| Change { object: response.joined(change.object), ..change };
+        let changes: Vec<Change> = changes.into_iter().map(joined).collect();
         *last_seen = Some(revision.max(after));
         if !changes.is_empty() {
             let _ = events.send(Event::Changed(changes, revision)).await;
@@ -280,25 +326,49 @@
         Ok(())
     }
 
+    /// Sends a request. Fails if the response is from an era that has ended: the store was
+    /// restored while the response was under way.
     async fn call(
         &self,
         method: Method,
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Result<hyper::Response<Bytes>> {
+    ) -> Result<Response> {
         let help = "check the store's address and health";
         let response = self.client.call(self.address, method, path, body, timeout, RESPONSE_LIMIT);
-        response.await.map_err(|error| Error::platform(path, error, help).into())
+        let response = response.await.map_err(|error| Error::platform(path, error, help))?;
+        let known = self.era().unwrap_or_default();
+        let header = response.headers().get(self.dialect.era_header);
+        let era = header.and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
+        let era = match era.filter(|era| *era <= revision::ERA_LIMIT) {
+            Some(era) => era,
+            None => {
+                if header.is_some() {
+                    log::warn!(
+                        "{path}: the store's era {header:?} is not a number; keeping {known}"
+                    );
+                }
+                known
+            }
+        };
+        if era < known {
+            let problem = format!("the response is of era {era}, which era {known} has replaced");
+            return Err(Error::platform(path, problem, "none needed, the call is repeated").into());
+        }
+        if Some(era) > self.era() {
+            self.era.send_replace(Some(era));
+        }
+        Ok(Response { status: response.status(), body: response.into_body(), era })
     }
 }
 
-fn expect_ok(kind: &str, response: &hyper::Response<Bytes>) -> Result<()> {
-    if response.status().is_success() {
+fn expect_ok(kind: &str, response: &Response) -> Result<()> {
+    if response.status.is_success() {
         return Ok(());
     }
     let help = "retry later, and check the store's health";
-    Err(Error::platform(kind, format!("status {}", response.status()), help).into())
+    Err(Error::platform(kind, format!("status {}", response.status), help).into())
 }
 
 fn malformed(kind: &str) -> error_stack::Report<Error> {
--- a/crates/filberttrail-store/src/lib.rs
+++ b/crates/filberttrail-store/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod feed;
 pub mod follow;
+pub mod revision;
 pub mod slowdown;
 pub mod status;
 
