Heed engines that say they are leaving or decline requests

Ruled out: a pause by the health of the upstream: it is lifted when all others are paused. Change: both are read from every response head and tied to the incarnation; a leaving upstream gets no new requests, and other entries hear of it; a declining one gets none until its time is over, and a caller that cannot wait so long is refused at once with it.

--- a/crates/filberttrail-fleet/src/admission.rs
+++ b/crates/filberttrail-fleet/src/admission.rs
@@ -76,6 +76,23 @@
     retry_after(RETRY_AFTER_OUTAGE_MINIMUM, draw)
 }
 
+/// Decides on a request while all upstreams of its service have asked this entry for a pause, the
+/// shortest of which ends at `until`. Returns the `Retry-After` time of a refusal, or `None` if the
+/// request can wait until then.
+///
+/// The load pattern it is built for is upstreams that shed load for some seconds: a request that
+/// cannot be sent before it misses its target is refused immediately, and returns when the first
+/// upstream accepts requests again.
+pub fn refuse_declined(
+    now: Duration,
+    until: Duration,
+    request: &Request,
+    draw: f64,
+) -> Option<Duration> {
+    let pause = until.saturating_sub(now);
+    (pause > wait_timeout(request)).then(|| pause + RETRY_AFTER_MINIMUM.mul_f64(draw))
+}
+
 /// The decision on a request that finds no free slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -132,7 +149,7 @@
         let rate = measure_rate(&mut self.recently_freed, now);
         let ahead = self.waiters.iter().filter(|waiter| precedes(waiter, &request)).count();
         let expected = Duration::from_secs_f64((ahead + 1) as f64 / rate);
-        let wait_timeout = self.wait_timeout(&request);
+        let wait_timeout = wait_timeout(&request);
         if expected > wait_timeout {
             return Decision::Refuse { retry_after: self.retry_after(now, draw) };
         }
@@ -163,15 +180,16 @@
         self.waiters.retain(|waiter| waiter.ticket != ticket);
         before != self.waiters.len()
     }
+}
 
-    fn wait_timeout(&self, request: &Request) -> Duration {
-        let wait_timeout = if request.is_caller_retry {
-            CALLER_RETRY_WAIT
-        } else {
-            request.target.mul_f64(FIRST_WAIT_FRACTION)
-        };
-        wait_timeout.min(request.time_left / 3)
-    }
+/// Returns how long a request may wait for a slot.
+fn wait_timeout(request: &Request) -> Duration {
+    let wait_timeout = if request.is_caller_retry {
+        CALLER_RETRY_WAIT
+    } else {
+        request.target.mul_f64(FIRST_WAIT_FRACTION)
+    };
+    wait_timeout.min(request.time_left / 3)
 }
 
 /// Returns the rate of freed slots, in slots per second.
--- a/crates/filberttrail-fleet/src/balance.rs
+++ b/crates/filberttrail-fleet/src/balance.rs
@@ -74,6 +74,7 @@
     let candidates: Vec<&mut Candidate> = candidates
         .filter(|candidate| candidate.upstream.service == constraints.service)
         .filter(|candidate| is_usable(candidate, constraints.outs, constraints.tried))
+        .filter(|candidate| !candidate.declines(constraints.now))
         .collect();
     let any_unpaused =
         candidates.iter().any(|candidate| !candidate.health.is_paused(constraints.now));
--- a/crates/filberttrail-fleet/src/candidate.rs
+++ b/crates/filberttrail-fleet/src/candidate.rs
@@ -23,6 +23,10 @@
     /// Whether the registration disappeared while the store was unavailable or had just
     /// recovered.
     pub missing: bool,
+    /// Whether the upstream has said that it is about to stop. It stays so for its incarnation.
+    pub leaving: bool,
+    /// Time until which the upstream wants no requests from this entry.
+    pub declined_until: Duration,
     /// Whether another upstream has responded at this one's address.
     pub replaced: bool,
     /// Smoothed interval between the events of the upstream's streams.
@@ -44,6 +48,8 @@
             health: Health::new(),
             recent_sends: Window::new(SEND_RATE_SPAN),
             missing: false,
+            leaving: false,
+            declined_until: Duration::ZERO,
             replaced: false,
             event_interval: None,
             slowdown: 1.0,
@@ -56,6 +62,8 @@
         self.missing = false;
         self.replaced = false;
         if upstream.incarnation != self.upstream.incarnation {
+            self.leaving = false;
+            self.declined_until = Duration::ZERO;
             self.health = Health::new();
             self.event_interval = None;
             self.slowdown = 1.0;
@@ -68,9 +76,15 @@
         self.own_requests + self.peer_requests
     }
 
+    /// Returns whether the upstream has asked this entry for a pause that lasts at `now`.
+    pub fn declines(&self, now: Duration) -> bool {
+        now < self.declined_until
+    }
+
     /// Returns whether the upstream, and its group if it has one, accepts new requests.
     pub fn accepts_requests(&self) -> bool {
         self.upstream.state == State::Ready
+            && !self.leaving
             && self.upstream.rank.as_ref().is_none_or(|rank| rank.open)
     }
 }
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -335,7 +335,7 @@
 }
 
 /// Returns the head of an upstream's response without `Connection`, `Transfer-Encoding`,
-/// `Keep-Alive` and the load header, and for a stream without `Content-Length`. Other headers are
+/// `Keep-Alive` and what the upstream tells about itself, and for a stream without `Content-Length`. Other headers are
 /// forwarded.
 fn response_head(hub: &Hub, head: &Parts, streamed: bool) -> Parts {
     let (mut response, ()) = hyper::Response::new(()).into_parts();
@@ -346,6 +346,7 @@
         response.headers.remove(name);
     }
     response.headers.remove(&hub.interface.headers.load);
+    response.headers.remove(&hub.interface.headers.leaving);
     if streamed {
         response.headers.remove(CONTENT_LENGTH);
     }
--- a/crates/filberttrail-gateway/src/exchange.rs
+++ b/crates/filberttrail-gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::caller_request::CallerRequest;
 use crate::connection::{self, Connection};
 use crate::permit::Permit;
+use crate::signals::Signals;
 use bytes::Bytes;
 use filberttrail_fleet::event::SequenceNumber;
 use http_body_util::Full;
@@ -57,6 +58,8 @@
         Ok(response) => response?,
         Err(_) => return Err(Failed::Silent),
     };
+    let Parts { status, headers, .. } = &response.head;
+    hub.record_signals(permit, Signals::read(*status, headers, &hub.interface.headers));
     check_response(hub, caller_request, &permit.id, &response.head).map(|()| response)
 }
 
--- a/crates/filberttrail-gateway/src/headers.rs
+++ b/crates/filberttrail-gateway/src/headers.rs
@@ -26,6 +26,8 @@
     /// Urgency of a request for the upstream, where 0 is the most urgent. It is removed from
     /// callers' requests; the gateway does not set it.
     pub urgency: HeaderName,
+    /// Present on every response of an upstream that is about to stop, with the value `1`.
+    pub leaving: HeaderName,
     /// Load of the responding upstream: requests running, requests waiting, and slots.
     pub load: HeaderName,
 }
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod queue_guard;
 pub mod relay;
 pub mod settings;
+pub mod signals;
 pub mod slot_request;
 pub(crate) mod state;
 
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -4,8 +4,8 @@
 
 use crate::id_hash::IdHash;
 use crate::{Hub, Settings};
-use filberttrail_fleet::Snapshot;
 use filberttrail_fleet::snapshot::Progress;
+use filberttrail_fleet::{Snapshot, upstream};
 use filberttrail_journal::journal::Priority;
 use filberttrail_store::Objects;
 use filberttrail_store::feed::{Event, Object, Written};
@@ -47,6 +47,9 @@
     pub loads: Vec<(IdHash, u32)>,
     /// Revision of the last change of each kind of object that the entry read from the store.
     pub changed: Progress,
+    /// Upstreams that have said that they are about to stop, with their incarnations.
+    #[serde(default)]
+    pub leaving: Vec<(IdHash, upstream::Incarnation)>,
 }
 
 /// Notifications that interrupt a pending watch of the store, per kind of object.
@@ -126,7 +129,8 @@
             advertised = changed;
             let Settings { name, data_centre, .. } = &hub.settings;
             let (entry, data_centre) = (name.clone(), data_centre.clone());
-            let message = Message { entry, data_centre, loads, changed };
+            let leaving = hub.leaving_upstreams();
+            let message = Message { entry, data_centre, loads, changed, leaving };
             let mut encoded = Vec::new();
             if let Err(error) = ciborium::into_writer(&message, &mut encoded) {
                 log::error!("cannot encode the message to the other entries: {error}");
@@ -151,6 +155,7 @@
             };
             match ciborium::from_reader::<Message, _>(&buffer[..length]) {
                 Ok(message) => {
+                    hub.receive_leaving(&message.leaving);
                     let loads: HashMap<IdHash, u32> = message.loads.into_iter().collect();
                     hub.receive_load(message.entry, message.data_centre, loads);
                     self.catch_up(&hub, &message.changed, from);
--- a/crates/filberttrail-gateway/src/permit.rs
+++ b/crates/filberttrail-gateway/src/permit.rs
@@ -10,6 +10,8 @@
     hub: Arc<Hub>,
     /// Id of the upstream.
     pub id: upstream::Id,
+    /// Incarnation of the upstream.
+    pub incarnation: upstream::Incarnation,
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Name of the upstream's service.
@@ -22,6 +24,7 @@
         Self {
             hub,
             id: upstream.id.clone(),
+            incarnation: upstream.incarnation,
             address: upstream.address,
             service: upstream.service.clone(),
         }
