Bound what is read without end, keep slow streams, answer what waits at a stop

Ruled out: heads, chunk extensions and trailers without end were bounded already (tests); a caller's endless head or body too. Change: an allowance of bytes up to the head of a response; a limit for events and for all large bodies; silence moves a stream only if it can move, and not within a stalled group; the listener's queue is served at a stop; ids are required on reused connections.

--- a/crates/filberttrail-fleet/src/balance.rs
+++ b/crates/filberttrail-fleet/src/balance.rs
@@ -5,8 +5,8 @@
 //! cost of a rank is therefore its own utilisation first and that of its group second. Groups with
 //! slow passes and upstreams with failures cost more.
 
-use crate::Candidate;
-use std::collections::HashMap;
+use crate::{Candidate, upstream};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Cost of an upstream that fails all its requests, in units of a full batch.
@@ -129,6 +129,38 @@
         && !tried.contains(&candidate.upstream.id)
 }
 
+/// Returns whether an upstream that sent nothing for `silence` belongs to a group of which no other
+/// rank sent anything either, and no usable upstream outside of the group offers the service.
+///
+/// The load pattern it is built for is a service that is one lock-step group: a rank that is cut
+/// off stalls all streams, and moving them to other ranks would repeat their prompts in vain. If
+/// other ranks go on, only the path to this one is broken, and moving helps.
+pub fn is_group_stalled(
+    candidates: &BTreeMap<upstream::Id, Candidate>,
+    id: &str,
+    outs: &[String],
+    now: Duration,
+    silence: Duration,
+) -> bool {
+    let Some(silent) = candidates.get(id) else { return false };
+    let Some(group) = silent.upstream.rank.as_ref().map(|rank| &rank.group) else { return false };
+    let is_member = |candidate: &Candidate| {
+        candidate.upstream.rank.as_ref().is_some_and(|rank| rank.group == *group)
+    };
+    let same_service = candidates
+        .values()
+        .filter(|candidate| candidate.upstream.service == silent.upstream.service);
+    let elsewhere = same_service
+        .clone()
+        .any(|candidate| !is_member(candidate) && is_usable(candidate, outs, &[]));
+    let sent_lately =
+        |candidate: &Candidate| candidate.last_event.is_some_and(|at| now < at + silence / 2);
+    let others =
+        same_service.filter(|candidate| is_member(candidate) && candidate.upstream.id != id);
+    let observed = others.clone().any(|candidate| candidate.own_requests > 0);
+    observed && !elsewhere && !others.into_iter().any(sent_lately)
+}
+
 fn sum_group_loads(candidates: &[&mut Candidate]) -> HashMap<String, Load> {
     let mut groups: HashMap<String, Load> = HashMap::new();
     for candidate in candidates {
--- a/crates/filberttrail-fleet/src/candidate.rs
+++ b/crates/filberttrail-fleet/src/candidate.rs
@@ -29,6 +29,8 @@
     pub declined_until: Duration,
     /// Whether another upstream has responded at this one's address.
     pub replaced: bool,
+    /// Time of the last event of a stream from the upstream.
+    pub last_event: Option<Duration>,
     /// Smoothed interval between the events of the upstream's streams.
     pub event_interval: Option<Duration>,
     /// Factor by which the upstream takes longer than one at full speed, as its rebalancer reports
@@ -51,6 +53,7 @@
             leaving: false,
             declined_until: Duration::ZERO,
             replaced: false,
+            last_event: None,
             event_interval: None,
             slowdown: 1.0,
             last_success: None,
--- a/crates/filberttrail-fleet/src/event.rs
+++ b/crates/filberttrail-fleet/src/event.rs
@@ -25,9 +25,17 @@
     pub last: Option<SequenceNumber>,
 }
 
-/// The error of a stream in which a sequence number is skipped.
+/// The error of a stream that cannot be continued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Gap;
+pub enum Fault {
+    /// A sequence number is skipped.
+    Gap,
+    /// An event exceeds [`EVENT_LIMIT`].
+    TooLong,
+}
+
+/// Maximum size of an event, in bytes.
+pub const EVENT_LIMIT: usize = 1 << 20;
 
 /// Splits a stream into events and drops numbered events that the caller has received before.
 #[derive(Debug, Default)]
@@ -36,24 +44,28 @@
     /// The highest sequence number so far: that of the last event from `push`, or else the number
     /// passed to `new`.
     last: Option<SequenceNumber>,
+    /// Whether a sequence number was skipped after the events that the last push returned.
+    gap: bool,
 }
 
 impl Splitter {
     /// Creates a splitter for a stream. Events with sequence numbers up to `last` are dropped;
     /// events without a number are kept.
     pub fn new(last: Option<SequenceNumber>) -> Self {
-        Self { buffer: BytesMut::new(), last }
+        Self { buffer: BytesMut::new(), last, gap: false }
     }
 
     /// Returns the sequence number of the last whole numbered event, or the number passed to `new`
     /// before the first one.
-    ///
-    /// After `push` has failed with `Gap`, the number includes events of the same push that came
-    /// before the gap, although their bytes were discarded.
     pub fn last(&self) -> Option<SequenceNumber> {
         self.last
     }
 
+    /// Returns whether a sequence number was skipped, so that the next push fails.
+    pub fn has_gap(&self) -> bool {
+        self.gap
+    }
+
     /// Returns whether the buffer holds bytes of an incomplete event.
     pub fn is_within_event(&self) -> bool {
         !self.buffer.is_empty()
@@ -62,8 +74,12 @@
     /// Appends bytes and returns the events that they complete, or `None` if there are none.
     ///
     /// Events whose sequence number was received before are dropped. Events without a number are
-    /// always returned. Fails if a sequence number is skipped.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, Gap> {
+    /// always returned. Fails if a sequence number is skipped; the events before the gap are
+    /// returned first, and then the next push fails. Fails if an event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, Fault> {
+        if self.gap {
+            return Err(Fault::Gap);
+        }
         self.buffer.extend_from_slice(bytes);
         let mut out = BytesMut::new();
         let mut first = None;
@@ -73,7 +89,10 @@
             if let Some(number) = parse_sequence_number(&event) {
                 match self.last {
                     Some(last) if number <= last => continue,
-                    Some(last) if number > last + 1 => return Err(Gap),
+                    Some(last) if number > last.saturating_add(1) => {
+                        self.gap = true;
+                        break;
+                    }
                     _ => {}
                 }
                 self.last = Some(number);
@@ -82,6 +101,12 @@
             }
             out.extend_from_slice(&event);
         }
+        if out.is_empty() && self.gap {
+            return Err(Fault::Gap);
+        }
+        if self.buffer.len() > EVENT_LIMIT {
+            return Err(Fault::TooLong);
+        }
         if out.is_empty() {
             return Ok(None);
         }
--- a/crates/filberttrail-fleet/tests/event.rs
+++ b/crates/filberttrail-fleet/tests/event.rs
@@ -1,7 +1,7 @@
 //! Splitting of event streams for any chunk boundaries.
 
 use filberttrail_fleet::Splitter;
-use filberttrail_fleet::event::Gap;
+use filberttrail_fleet::event::{EVENT_LIMIT, Fault};
 use filberttrail_test_support::property::check;
 
 fn stream(events: u64) -> Vec<u8> {
@@ -41,7 +41,28 @@
 #[test]
 fn reports_a_gap_when_an_event_is_missing() {
     let mut splitter = Splitter::new(Some(2));
-    assert_eq!(splitter.push(b"id: 4\ndata: x\n\n"), Err(Gap));
+    assert_eq!(splitter.push(b"id: 4\ndata: x\n\n"), Err(Fault::Gap));
+}
+
+#[test]
+fn returns_the_events_before_a_gap_and_then_fails() {
+    let mut splitter = Splitter::new(Some(2));
+    let events = splitter.push(b"id: 3\ndata: x\n\nid: 5\ndata: y\n\n");
+    assert_eq!(
+        &events.expect("no failure yet").expect("an event").bytes[..],
+        b"id: 3\ndata: x\n\n"
+    );
+    assert!(splitter.has_gap());
+    assert_eq!(splitter.last(), Some(3), "the stream resumes after the event that was returned");
+    assert_eq!(splitter.push(b""), Err(Fault::Gap));
+}
+
+#[test]
+fn rejects_an_event_without_end() {
+    let mut splitter = Splitter::new(None);
+    let chunk = vec![b'x'; 64 << 10];
+    let accepted = (0..1_000).take_while(|_| splitter.push(&chunk).is_ok()).count();
+    assert_eq!(accepted, EVENT_LIMIT / chunk.len());
 }
 
 #[test]
--- a/crates/filberttrail-fleet/tests/load.rs
+++ b/crates/filberttrail-fleet/tests/load.rs
@@ -5,6 +5,7 @@
 use filberttrail_fleet::balance::{self, Constraints};
 use filberttrail_fleet::upstream::{Rank, State};
 use filberttrail_fleet::{Budget, Candidate, Health, Upstream, budget};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
@@ -424,3 +425,35 @@
     // A third of the 8 s that a caller has left.
     assert!(returns.iter().all(|after| *after <= ms(2_666)), "{returns:?}");
 }
+
+/// One group is the whole service, and a rank that is cut off stalls it: streams stay where they
+/// are. If the other ranks go on, or another group can take over, a silent stream moves.
+#[test]
+fn streams_of_a_stalled_group_stay_unless_they_can_move_out_of_it() {
+    let now = ms(10_000);
+    let silence = ms(1_300);
+    let build = |other_event: Option<u64>, other_group: bool| {
+        let mut candidates = BTreeMap::new();
+        for number in 0..4 {
+            let mut rank = candidate(&format!("u-{number}"), Some(("g", number)), 4);
+            rank.own_requests = 1;
+            rank.last_event = Some(ms(8_600));
+            candidates.insert(rank.upstream.id.clone(), rank);
+        }
+        if let (Some(at), Some(other)) = (other_event, candidates.get_mut("u-2")) {
+            other.last_event = Some(ms(at));
+        }
+        if other_group {
+            let other = candidate("v-0", Some(("h", 0)), 4);
+            candidates.insert("v-0".to_string(), other);
+        }
+        candidates
+    };
+    let stalled = |candidates| balance::is_group_stalled(&candidates, "u-0", &[], now, silence);
+    assert!(stalled(build(None, false)));
+    assert!(!stalled(build(Some(9_900), false)), "only the path to the rank is broken");
+    assert!(!stalled(build(None, true)), "another group can take over");
+    let mut alone = build(None, false);
+    alone.values_mut().skip(1).for_each(|rank| rank.own_requests = 0);
+    assert!(!stalled(alone), "nothing is known of the other ranks");
+}
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -12,7 +12,6 @@
 use filberttrail_fleet::route::Kind;
 use filberttrail_journal::journal::Priority;
 use filberttrail_web::{Body, Request, Response};
-use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use serde_json::json;
@@ -31,8 +30,6 @@
 const RESPONSE_TIMEOUT_TARGETS: u32 = 3;
 /// Time reserved for the response on its way back, so that it arrives before the caller's timeout.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
-/// Maximum size of a response body that is not a stream, in bytes.
-const RESPONSE_LIMIT: usize = 16 << 20;
 /// `Retry-After` time of a request that got no slot in time. A request that is refused after a
 /// failed attempt gets a random time from one to two times this, except after a refusal that
 /// another rank of the group caused.
@@ -297,10 +294,9 @@
         return Ok(Response::from_parts(head, Body::Stream(relay.into_chunks())));
     }
     let UpstreamResponse { head, body, connection } = response;
-    let collected = Limited::new(body, RESPONSE_LIMIT).collect().await;
-    let body = match collected {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Err((Failed::Unknown(error.to_string()), permit.id.clone())),
+    let body = match hub.memory.read(body).await {
+        Ok(body) => body,
+        Err(error) => return Err((Failed::Unknown(error), permit.id.clone())),
     };
     // `None` means that the upstream closes the connection, and `Some(None)` that it announces no
     // idle timeout.
--- a/crates/filberttrail-gateway/src/connection.rs
+++ b/crates/filberttrail-gateway/src/connection.rs
@@ -1,5 +1,6 @@
 //! A pool of idle connections to upstreams.
 
+use crate::allowance::Allowance;
 use bytes::Bytes;
 use filberttrail_kernel::clock;
 use filberttrail_web::client::{CONNECT_TIMEOUT, configure_socket};
@@ -24,8 +25,17 @@
 /// Delay before a connection is reused. A response that is sent twice is detected within it.
 const REUSE_DELAY: Duration = Duration::from_millis(20);
 
+/// Bytes that may be read up to the end of a response head, with interim responses.
+pub const HEAD_ALLOWANCE: u64 = 256 << 10;
+/// Bytes that may be read from an idle connection. The HTTP library closes it on the first ones.
+const IDLE_ALLOWANCE: u64 = 16 << 10;
+/// Maximum size of a response head and of the buffer for reading, in bytes.
+const BUFFER_LIMIT: usize = 64 << 10;
+
 /// An open connection, which is closed when dropped.
 pub struct Connection {
+    /// Bytes that may still be read.
+    pub allowance: Allowance,
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether a response was received on the connection before.
@@ -86,6 +96,7 @@
             idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN)
         });
         connection.used = true;
+        connection.allowance.set(IDLE_ALLOWANCE);
         let mut pool = self.lock();
         let idle = pool.entry(address).or_default();
         if idle.len() < IDLE_LIMIT && !idle_timeout.is_zero() && !connection.sender.is_closed() {
@@ -123,12 +134,16 @@
     if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
         log::debug!("cannot set SO_LINGER on a connection to an upstream: {error}");
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let allowance = Allowance::new(HEAD_ALLOWANCE);
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_LIMIT)
+        .handshake(TokioIo::new(allowance.wrap(stream)))
+        .await;
     let (sender, connection) = handshake.map_err(|error| error.to_string())?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {address} ended: {error}");
         }
     });
-    Ok(Connection { sender, used: false, task: task.abort_handle() })
+    Ok(Connection { allowance, sender, used: false, task: task.abort_handle() })
 }
--- a/crates/filberttrail-gateway/src/exchange.rs
+++ b/crates/filberttrail-gateway/src/exchange.rs
@@ -52,6 +52,9 @@
     timeout: Duration,
 ) -> Result<UpstreamResponse, Failed> {
     let time_left = caller_request.deadline.saturating_sub(hub.now());
+    if time_left.is_zero() {
+        return Err(Failed::Unsent("no time is left".to_string()));
+    }
     let request = build_request(hub, permit, caller_request, after_event, time_left);
     let exchange = exchange(hub, permit, request, time_left);
     let response = match tokio::time::timeout(timeout.min(time_left), exchange).await {
@@ -60,7 +63,8 @@
     };
     let Parts { status, headers, .. } = &response.head;
     hub.record_signals(permit, Signals::read(*status, headers, &hub.interface.headers));
-    check_response(hub, caller_request, &permit.id, &response.head).map(|()| response)
+    let reused = response.connection.used;
+    check_response(hub, caller_request, &permit.id, reused, &response.head).map(|()| response)
 }
 
 async fn exchange(
@@ -72,6 +76,7 @@
     let mut request = request;
     // A pooled connection may turn out to be closed before anything was sent on it.
     while let Some(mut connection) = hub.pool.take(permit.address) {
+        connection.allowance.set(connection::HEAD_ALLOWANCE);
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok(into_upstream_response(response, connection)),
             Err(mut error) => match error.take_message() {
@@ -95,6 +100,8 @@
     response: hyper::Response<Incoming>,
     connection: Connection,
 ) -> UpstreamResponse {
+    // The sizes of bodies are limited where they are read.
+    connection.allowance.set(u64::MAX);
     let (head, body) = response.into_parts();
     UpstreamResponse { head, body, connection }
 }
@@ -128,10 +135,12 @@
 }
 
 /// Checks that a response belongs to the request, is signed, and may be returned to the caller.
+/// `reused` tells whether another response was received on the connection before.
 fn check_response(
     hub: &Hub,
     caller_request: &CallerRequest,
     upstream: &str,
+    reused: bool,
     head: &Parts,
 ) -> Result<(), Failed> {
     let names = &hub.interface.headers;
@@ -139,6 +148,10 @@
     if id.is_some_and(|id| id.as_bytes() != caller_request.id.as_bytes()) {
         return Err(Failed::Unknown("the answer belongs to another request".to_string()));
     }
+    if id.is_none() && reused {
+        // It may be a late second copy of the response to the request before.
+        return Err(Failed::Unknown("the answer names no request".to_string()));
+    }
     let not_run = head.headers.contains_key(&names.not_run);
     if not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         let by_group = head.headers.contains_key(&names.at_fault);
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::Pool;
 use crate::id_hash::{IdHash, hash_id};
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::outcome::Outcome;
 use crate::permit::Permit;
@@ -57,6 +58,8 @@
     pub metrics: Metrics,
     /// Idle connections to upstreams.
     pub pool: Pool,
+    /// Memory for large response bodies.
+    pub memory: Memory,
     /// Notified after changes that may have made slots available to waiting requests.
     pub dispatch_requested: Notify,
     state: Mutex<State>,
@@ -87,6 +90,7 @@
             journal,
             metrics,
             pool,
+            memory: Memory::new(),
             dispatch_requested,
             state,
             draining,
@@ -665,6 +669,23 @@
         self.journal.record(Priority::Important, "group_paused", fields);
     }
 
+    /// Records that an upstream sent an event of a stream.
+    pub fn record_event(&self, id: &str) {
+        let now = self.now();
+        if let Some(candidate) = self.lock().candidates.get_mut(id) {
+            candidate.last_event = Some(now);
+        }
+    }
+
+    /// Returns whether the whole group of an upstream that sent nothing for `silence` is silent,
+    /// and no other upstream can take over. The work of the group goes on or fails as a whole then,
+    /// and starting it again at another rank only adds load.
+    pub fn is_group_stalled(&self, id: &str, silence: Duration) -> bool {
+        let now = self.now();
+        let state = self.lock();
+        balance::is_group_stalled(&state.candidates, id, &state.outs, now, silence)
+    }
+
     /// Records the mean interval between the events of an upstream's stream.
     pub fn record_event_interval(&self, id: &str, event_interval: Duration) {
         if let Some(candidate) = self.lock().candidates.get_mut(id) {
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! The gateway: an entry that forwards requests directly to upstreams over HTTP, without sidecars.
 
+pub mod allowance;
 pub mod call;
 pub mod caller_request;
 pub mod connection;
@@ -10,6 +11,7 @@
 pub mod hub;
 pub mod id_hash;
 pub mod interface;
+pub mod memory;
 pub mod metrics;
 pub mod open_request;
 pub mod outcome;
--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -41,6 +41,8 @@
     attempts: Attempts,
     splitter: Splitter,
     source: Option<Source>,
+    /// Id of the upstream that the last source belongs to.
+    source_id: String,
     /// Events that were read before the response to the caller started.
     first_events: Option<Bytes>,
     started_at: Duration,
@@ -61,6 +63,7 @@
     ) -> Result<Self, Failed> {
         let splitter = Splitter::new(caller_request.after_event);
         let started_at = hub.now();
+        let source_id = permit.id.clone();
         let source = Some(Source::new(permit, response));
         let mut relay = Self {
             hub,
@@ -68,12 +71,26 @@
             attempts,
             splitter,
             source,
+            source_id,
             first_events: None,
             started_at,
             last_event_at: started_at,
             batches: 0,
         };
-        match relay.read_events(call::FIRST_EVENT_TIMEOUT).await? {
+        let time_left = relay.caller_request.deadline.saturating_sub(started_at);
+        let first = loop {
+            let timeout = match relay.caller_request.route.is_repeatable() {
+                true => call::FIRST_EVENT_TIMEOUT.min(time_left),
+                false => time_left,
+            };
+            match relay.read_events(timeout).await {
+                Err(Failed::Silent)
+                    if relay.hub.now() < relay.caller_request.deadline
+                        && relay.hub.is_group_stalled(&relay.source_id, timeout) => {}
+                first => break first?,
+            }
+        };
+        match first {
             Some(events) => {
                 relay.hub.record_outcome(&relay.upstream(), Outcome::Success);
                 relay.first_events = Some(events);
@@ -115,8 +132,20 @@
                 }
                 Err(failed) => failed,
             };
-            if !self.resume(failed).await {
-                return Some(Err(Truncated));
+            // A stream that is only slow goes on if it cannot continue elsewhere.
+            let stalled = self.source.take().filter(|_| failed == Failed::Silent);
+            let stalled = stalled.filter(|_| self.hub.now() < self.caller_request.deadline);
+            let id = self.source_id.clone();
+            let group_stalled = stalled.is_some() && self.hub.is_group_stalled(&id, EVENT_TIMEOUT);
+            if !group_stalled && self.resume(failed.clone(), id, stalled.is_some()).await {
+                continue;
+            }
+            match stalled {
+                Some(source) => self.source = Some(source),
+                None => {
+                    self.give_up(&failed);
+                    return Some(Err(Truncated));
+                }
             }
         }
     }
@@ -124,6 +153,9 @@
     /// Reads the next complete events. Returns nothing at the end of the stream.
     async fn read_events(&mut self, timeout: Duration) -> Result<Option<Bytes>, Failed> {
         let deadline = self.hub.now() + timeout;
+        if self.splitter.has_gap() {
+            return Err(Failed::Unknown("events are missing".to_string()));
+        }
         loop {
             let Some(source) = &mut self.source else { return Ok(None) };
             let time_left = deadline.saturating_sub(self.hub.now());
@@ -139,10 +171,11 @@
             let received_at = self.hub.now();
             let Ok(data) = frame.into_data() else { continue };
             let events = self.splitter.push(&data);
-            let events = events.map_err(|_| Failed::Unknown("events are missing".to_string()))?;
+            let events = events.map_err(|fault| Failed::Unknown(format!("{fault:?}")))?;
             if let Some(events) = events {
                 self.batches += 1;
                 self.last_event_at = received_at;
+                self.hub.record_event(&self.source_id);
                 self.hub.metrics.record_relay(self.hub.now().saturating_sub(received_at));
                 return Ok(Some(events.bytes));
             }
@@ -166,11 +199,10 @@
     }
 
     /// Resumes the stream at another upstream after the last event that was forwarded. Returns
-    /// whether that succeeded.
-    async fn resume(&mut self, failed: Failed) -> bool {
+    /// whether that succeeded. `slow` tells whether the stream can also go on where it is.
+    async fn resume(&mut self, failed: Failed, upstream: String, slow: bool) -> bool {
         let mut failed = failed;
-        let mut id = self.upstream();
-        self.source = None;
+        let mut id = upstream;
         let last = self.splitter.last();
         loop {
             call::record_failure(&self.hub, &self.caller_request, &mut self.attempts, &failed, &id);
@@ -179,14 +211,17 @@
             if !possible
                 || !call::try_take_retry(&self.hub, &self.caller_request, &self.attempts, &failed)
             {
-                self.give_up(&failed);
                 return false;
             }
             let permit = match call::acquire(&self.hub, &self.caller_request, &self.attempts).await
             {
                 Ok(permit) => permit,
                 Err(refusal) => {
-                    self.give_up(&Failed::Unsent(refusal.cause.to_string()));
+                    let fields = json!({
+                        "request": self.caller_request.id, "cause": refusal.cause,
+                        "goes_on": slow,
+                    });
+                    self.hub.journal.record(Priority::Important, "not_resumed", fields);
                     return false;
                 }
             };
@@ -196,6 +231,7 @@
                 Ok(response) if response.head.status.is_success() => {
                     self.splitter = Splitter::new(last);
                     self.source = Some(Source::new(permit, response));
+                    self.source_id.clone_from(&id);
                     let fields = json!({
                         "request": self.caller_request.id, "upstream": id, "after_event": last,
                     });
--- a/crates/filberttrail-web/src/server.rs
+++ b/crates/filberttrail-web/src/server.rs
@@ -14,9 +14,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinSet;
 
 /// Resource limits of a server.
@@ -37,6 +38,9 @@
 /// The smallest read buffer that the HTTP library accepts, in bytes.
 pub const HEADER_BYTES_MINIMUM: usize = 8_192;
 
+/// The time for which a stopping server waits for the first request of a new connection.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
 /// The multiple of the limits up to which a head is parsed, so that a head over the limits still
 /// gets a problem document instead of a closed connection.
 const HEAD_PARSE_FACTOR: usize = 4;
@@ -87,10 +91,36 @@
             });
         }
     }
-    drop(listener);
+    // Closing the listener resets the connections that wait to be accepted.
+    for stream in take_waiting(listener) {
+        let Ok(permit) = slots.clone().try_acquire_owned() else { break };
+        let (limits, handler, stop) = (limits.clone(), handler.clone(), stop.clone());
+        connections.spawn(async move {
+            serve_connection(stream, &limits, stop, handler).await;
+            drop(permit);
+        });
+    }
     while connections.join_next().await.is_some() {}
 }
 
+/// Closes a listener and returns the connections that waited to be accepted.
+fn take_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!("cannot accept the connections that wait: {error}; their callers retry");
+            return Vec::new();
+        }
+    };
+    let accept = || listener.accept().ok().map(|(stream, _)| stream);
+    let streams = std::iter::from_fn(accept);
+    let usable = streams.filter_map(|stream| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    usable.collect()
+}
+
 /// Waits until `stop` becomes true or closes.
 pub async fn wait_until_stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stopped| *stopped).await;
@@ -112,6 +142,26 @@
     }
 }
 
+/// Whether the first request of a connection has begun.
+#[derive(Default)]
+struct Begun {
+    begun: AtomicBool,
+    notify: Notify,
+}
+
+impl Begun {
+    fn record(&self) {
+        self.begun.store(true, Ordering::Relaxed);
+        self.notify.notify_one();
+    }
+
+    async fn wait(&self) {
+        if !self.begun.load(Ordering::Relaxed) {
+            self.notify.notified().await;
+        }
+    }
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: &Limits,
@@ -123,7 +173,10 @@
 {
     let _ = stream.set_nodelay(true);
     let bounds = limits.clone();
+    let begun = Arc::new(Begun::default());
+    let begun_by_service = begun.clone();
     let service = service_fn(move |request| {
+        begun_by_service.record();
         let checked = match check_head(&request, &bounds) {
             None => Ok(handler(request)),
             Some(problem) => Err(problem),
@@ -146,9 +199,16 @@
             service,
         );
     tokio::pin!(connection);
+    let stopped = async {
+        wait_until_stopped(&mut stop).await;
+        // The HTTP library closes a connection from which it has read nothing yet. A caller may
+        // have sent its first request already.
+        let _ = tokio::time::timeout(FIRST_REQUEST_WAIT, begun.wait()).await;
+    };
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = wait_until_stopped(&mut stop) => {
+        () = stopped => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/filberttrail-web/tests/server.rs
+++ b/crates/filberttrail-web/tests/server.rs
@@ -47,3 +47,28 @@
     stop.send_replace(true);
     serving.await.expect("the server stops");
 }
+
+#[tokio::test]
+async fn answers_connections_that_wait_to_be_accepted_when_it_stops() {
+    const CALLERS: usize = 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (stop, stopped) = watch::channel(false);
+    let handler = |_| async { Response::new(Body::new("done")) };
+    // The connections are complete and their requests sent before the server accepts any.
+    let mut callers: Vec<std::net::TcpStream> = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = std::net::TcpStream::connect(address).expect("a connection");
+        std::io::Write::write_all(&mut caller, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").expect("sent");
+        callers.push(caller);
+    }
+    stop.send_replace(true);
+    server::serve(listener, Limits::default(), stopped, handler).await;
+    for (number, caller) in callers.into_iter().enumerate() {
+        caller.set_nonblocking(true).expect("a socket option");
+        let mut caller = TcpStream::from_std(caller).expect("a stream");
+        let mut response = Vec::new();
+        let _ = caller.read_to_end(&mut response).await;
+        assert!(response.starts_with(b"HTTP/1.1 200"), "caller {number} got no answer");
+    }
+}
