--- a/crates/filberttrail-fleet/src/candidate.rs
+++ b/crates/filberttrail-fleet/src/candidate.rs
@@ -76,7 +76,7 @@
 
     /// Returns the number of requests in flight, from all entries.
     pub fn count_in_flight(&self) -> u32 {
-        self.own_requests + self.peer_requests
+        self.own_requests.saturating_add(self.peer_requests)
     }
 
     /// Returns whether the upstream has asked this entry for a pause that lasts at `now`.
--- a/crates/filberttrail-rebalance/src/coordinator.rs
+++ b/crates/filberttrail-rebalance/src/coordinator.rs
@@ -422,11 +422,22 @@
             }
         }
         let Some((_, _, map)) = &self.current else { return IDLE_INTERVAL };
+        let is_valid = |ranks: &Vec<Vec<u32>>| {
+            ranks.iter().flatten().all(|expert| (*expert as usize) < shape.experts)
+        };
+        if !map.iter().all(is_valid) {
+            let fields = json!({ "group": own.group, "map": own.map, "experts": shape.experts });
+            self.journal.record(Priority::Important, "unreadable_map", fields);
+            self.current = None;
+            return IDLE_INTERVAL;
+        }
         let layer =
             |ranks: &Vec<Vec<u32>>| Map { experts: shape.experts as u32, ranks: ranks.clone() };
         let maps: Vec<Map> = map.iter().map(layer).collect();
         let popularity = self.popularity.layers();
-        if popularity.len() != shape.layers {
+        if popularity.len() != shape.layers
+            || popularity.iter().any(|shares| shares.len() != shape.experts)
+        {
             return IDLE_INTERVAL;
         }
         // An orphaned hold is released only by a switch, so it justifies a new plan without any
