Let entries of a large estate hear of each other and of the store through relays

Shares of what a cold engine bears were rounded up to 1 a second each: 149 against a bound of 27. Ruled out: longer periods alone: the sums still grow with entries times upstreams, and loads grow stale; one watcher for all kinds: the protocol has a watch per kind. Change: loads are summed by differences (fleet::Loads); above 48 entries each sends to two relays of its data centre, which answer with the others' load and exchange sums with relays elsewhere (fleet::overlay); relays are ranked by rendezvous hashing and passed over when silent; only relays watch the store, the others copy what changed and watch themselves after 1.1 s without an answer; a cold engine's rate is divided into whole shares for a subset of entries (fleet::subset).

--- a/crates/filberttrail-fleet/src/balance.rs
+++ b/crates/filberttrail-fleet/src/balance.rs
@@ -124,6 +124,7 @@
 /// Returns whether requests may be sent to an upstream, whatever its load.
 pub fn is_usable(candidate: &Candidate, outs: &[String], tried: &[String]) -> bool {
     candidate.accepts_requests()
+        && candidate.in_subset
         && !candidate.replaced
         && !outs.contains(&candidate.upstream.data_centre)
         && !tried.contains(&candidate.upstream.id)
--- a/crates/filberttrail-fleet/src/candidate.rs
+++ b/crates/filberttrail-fleet/src/candidate.rs
@@ -20,6 +20,8 @@
     pub health: Health,
     /// Requests that this entry sent within the last second.
     pub recent_sends: Window,
+    /// Whether this entry is in the upstream's subset of entries.
+    pub in_subset: bool,
     /// Whether the registration disappeared while the store was unavailable or had just
     /// recovered.
     pub missing: bool,
@@ -49,6 +51,7 @@
             peer_requests: 0,
             health: Health::new(),
             recent_sends: Window::new(SEND_RATE_SPAN),
+            in_subset: true,
             missing: false,
             leaving: false,
             declined_until: Duration::ZERO,
--- a/crates/filberttrail-fleet/src/snapshot.rs
+++ b/crates/filberttrail-fleet/src/snapshot.rs
@@ -3,6 +3,8 @@
 
 use crate::{Configuration, Upstream};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// The revision of a change in the store.
 pub type Revision = u64;
@@ -16,6 +18,10 @@
     pub configuration: Revision,
     /// Revision of the data centres that are out of service.
     pub outs: Revision,
+    /// Revision of the slow upstreams.
+    pub slowdowns: Revision,
+    /// Revision of the registrations of entries.
+    pub entries: Revision,
 }
 
 impl Progress {
@@ -25,6 +31,8 @@
             upstreams: self.upstreams.max(other.upstreams),
             configuration: self.configuration.max(other.configuration),
             outs: self.outs.max(other.outs),
+            slowdowns: self.slowdowns.max(other.slowdowns),
+            entries: self.entries.max(other.entries),
         }
     }
 
@@ -33,18 +41,34 @@
         self.upstreams > other.upstreams
             || self.configuration > other.configuration
             || self.outs > other.outs
+            || self.slowdowns > other.slowdowns
+            || self.entries > other.entries
     }
 }
 
-/// All state that an entry has read from the store.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// The registration of an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Address for messages and snapshots.
+    pub address: SocketAddr,
+    /// Data centre in which the entry runs.
+    pub data_centre: String,
+}
+
+/// The state that an entry has read from the store. Parts that the receiver has already are left
+/// out.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Revisions up to which the entry has followed the store.
     pub seen: Progress,
-    /// The active configuration, if the entry knows it.
+    /// The active configuration.
     pub configuration: Option<Configuration>,
     /// All registered upstreams.
-    pub upstreams: Vec<Upstream>,
+    pub upstreams: Option<Vec<Upstream>>,
     /// The data centres that are out of service.
-    pub outs: Vec<String>,
+    pub outs: Option<Vec<String>>,
+    /// The slowdown factors of slow upstreams, by address.
+    pub slowdowns: Option<Vec<(SocketAddr, f64)>>,
+    /// The registered entries, by name.
+    pub entries: Option<BTreeMap<String, Entry>>,
 }
--- a/crates/filberttrail-gateway/src/daemon.rs
+++ b/crates/filberttrail-gateway/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Starts the tasks of a gateway and shuts them down.
 
 use crate::metrics::Metrics;
-use crate::peers::{self, Peers};
+use crate::peers::Peers;
 use crate::{Hub, Interface, Settings, call, follow};
 use filberttrail_journal::journal::Priority;
 use filberttrail_journal::{Journal, reload};
@@ -84,7 +84,8 @@
                 "data_centre": hub.settings.data_centre,
             }),
         );
-        spawn_followers(&hub, Arc::new(socket));
+        let peers = Peers::new(hub.now());
+        spawn_followers(&hub, &peers, Arc::new(socket));
         let current_settings = hub.settings.clone();
         tokio::spawn(reload::run(hub.journal.clone(), current_settings, reloads, reread));
         let (_close_internal, stop_internal) = watch::channel(false);
@@ -104,10 +105,7 @@
             peer_listener,
             Limits::default(),
             stop_internal.clone(),
-            move |_| {
-                let response = peers::serve_snapshot(&hub_for_peers);
-                async move { response }
-            },
+            move |request| peers.clone().serve_snapshot(hub_for_peers.clone(), request),
         ));
         if let Some(address) = metrics {
             let listener = server::bind(address).await?;
@@ -153,19 +151,20 @@
     }
 }
 
-fn spawn_followers(hub: &Arc<Hub>, socket: Arc<UdpSocket>) {
+fn spawn_followers(hub: &Arc<Hub>, peers: &Arc<Peers>, socket: Arc<UdpSocket>) {
     let objects = Objects::new(hub.settings.store, hub.interface.dialect);
-    let peers = Arc::new(Peers::default());
     let wakes = &peers.wakes;
     let (upstreams, configuration) = (wakes.upstreams.clone(), wakes.configuration.clone());
-    tokio::spawn(follow::run_upstreams(hub.clone(), objects.clone(), upstreams));
-    tokio::spawn(follow::run_configuration(hub.clone(), objects.clone(), configuration));
-    tokio::spawn(follow::run_outs(hub.clone(), objects.clone(), wakes.outs.clone()));
-    tokio::spawn(follow::run_slowdowns(hub.clone(), objects.clone()));
+    let (outs, slowdowns) = (wakes.outs.clone(), wakes.slowdowns.clone());
+    let active = || peers.watching();
+    tokio::spawn(follow::run_upstreams(hub.clone(), objects.clone(), upstreams, active()));
+    tokio::spawn(follow::run_configuration(hub.clone(), objects.clone(), configuration, active()));
+    tokio::spawn(follow::run_outs(hub.clone(), objects.clone(), outs, active()));
+    tokio::spawn(follow::run_slowdowns(hub.clone(), objects.clone(), slowdowns, active()));
     tokio::spawn(hub.clone().run_dispatch());
     tokio::spawn(peers.clone().run_follow(hub.clone(), objects));
     tokio::spawn(peers.clone().run_advertise(hub.clone(), socket.clone()));
-    tokio::spawn(peers.run_receive(hub.clone(), socket));
+    tokio::spawn(peers.clone().run_receive(hub.clone(), socket));
 }
 
 fn respond_readiness(hub: &Hub, request: &Request) -> Response {
--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -11,13 +11,18 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Follows the registrations of upstreams.
-pub async fn run_upstreams(hub: Arc<Hub>, objects: Arc<Objects>, wake: Arc<Notify>) {
+pub async fn run_upstreams(
+    hub: Arc<Hub>,
+    objects: Arc<Objects>,
+    wake: Arc<Notify>,
+    active: watch::Receiver<bool>,
+) {
     let kind = hub.interface.upstreams;
     let read = hub.interface.read_upstream;
-    let mut events = objects.follow(kind, wake);
+    let mut events = objects.follow(kind, wake, active);
     while let Some(event) = events.recv().await {
         match record_event(&hub, kind, |progress| &mut progress.upstreams, event) {
             Some(Update::All(all)) => {
@@ -51,9 +56,14 @@
 }
 
 /// Follows the configuration.
-pub async fn run_configuration(hub: Arc<Hub>, objects: Arc<Objects>, wake: Arc<Notify>) {
+pub async fn run_configuration(
+    hub: Arc<Hub>,
+    objects: Arc<Objects>,
+    wake: Arc<Notify>,
+    active: watch::Receiver<bool>,
+) {
     let (kind, name) = hub.interface.configuration;
-    let mut events = objects.follow(kind, wake);
+    let mut events = objects.follow(kind, wake, active);
     while let Some(event) = events.recv().await {
         let object = match record_event(&hub, kind, |progress| &mut progress.configuration, event) {
             Some(Update::All(all)) => all.into_iter().rfind(|object| object.name == name),
@@ -81,9 +91,14 @@
 }
 
 /// Follows the set of data centres that are out of service.
-pub async fn run_outs(hub: Arc<Hub>, objects: Arc<Objects>, wake: Arc<Notify>) {
+pub async fn run_outs(
+    hub: Arc<Hub>,
+    objects: Arc<Objects>,
+    wake: Arc<Notify>,
+    active: watch::Receiver<bool>,
+) {
     let kind = hub.interface.outs;
-    let mut events = objects.follow(kind, wake);
+    let mut events = objects.follow(kind, wake, active);
     let mut outs = BTreeSet::new();
     while let Some(event) = events.recv().await {
         match record_event(&hub, kind, |progress| &mut progress.outs, event) {
@@ -108,20 +123,25 @@
     }
 }
 
-/// Follows which upstreams are slow. Missing updates cost only time, so other
-/// entries are not asked for them while the store is unavailable.
-pub async fn run_slowdowns(hub: Arc<Hub>, objects: Arc<Objects>) {
-    let mut events = objects.follow(slowdown::KIND, Arc::default());
+/// Follows which upstreams are slow.
+pub async fn run_slowdowns(
+    hub: Arc<Hub>,
+    objects: Arc<Objects>,
+    wake: Arc<Notify>,
+    active: watch::Receiver<bool>,
+) {
+    let kind = slowdown::KIND;
+    let mut events = objects.follow(kind, wake, active);
     let mut slowdowns: HashMap<String, Slowdown> = HashMap::new();
     while let Some(event) = events.recv().await {
-        match event {
-            Event::All(all, _) => {
+        match record_event(&hub, kind, |progress| &mut progress.slowdowns, event) {
+            Some(Update::All(all)) => {
                 slowdowns = all
                     .into_iter()
                     .filter_map(|object| Some((object.name.clone(), decode_slowdown(&object)?)))
                     .collect();
             }
-            Event::Changed(changes, _) => {
+            Some(Update::Changed(changes)) => {
                 for change in keep_last_of_each(changes) {
                     let Change { object, removed } = change;
                     match decode_slowdown(&object).filter(|_| !removed) {
@@ -130,7 +150,7 @@
                     }
                 }
             }
-            Event::Lost(_) | Event::Regained => continue,
+            None => continue,
         }
         hub.set_slowdowns(
             slowdowns.values().map(|slowdown| (slowdown.address, slowdown.factor)).collect(),
@@ -153,7 +173,7 @@
 }
 
 /// The objects of an event.
-enum Update {
+pub(crate) enum Update {
     /// All objects of the kind.
     All(Vec<Object>),
     /// The objects that changed.
@@ -162,7 +182,7 @@
 
 /// Records the availability of the store and the revisions that an event shows, and returns the
 /// event's objects.
-fn record_event(
+pub(crate) fn record_event(
     hub: &Hub,
     kind: &'static str,
     pick: fn(&mut Progress) -> &mut Revision,
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -9,17 +9,17 @@
 use crate::queue_guard::QueueGuard;
 use crate::signals::Signals;
 use crate::slot_request::{Refusal, SlotRequest};
-use crate::state::{
-    DEPARTED_RETENTION, PeerReport, RESTORE_GRACE, State, is_partitioned, update_peer_requests,
-};
+use crate::state::{DEPARTED_RETENTION, RESTORE_GRACE, State, is_partitioned};
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
 use filberttrail_fleet::snapshot::{Progress, Revision, Snapshot};
+use filberttrail_fleet::subset::Share;
 use filberttrail_fleet::upstream::{self, Upstream};
-use filberttrail_fleet::{Budget, Candidate, Table, balance};
+use filberttrail_fleet::{Budget, Candidate, Loads, Table, balance};
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
+use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::revision;
 use serde_json::json;
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -34,7 +34,7 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 /// Number of entries assumed until the store has reported it.
 const ASSUMED_ENTRIES: u32 = 32;
-/// Time after which an entry is forgotten that sends no more messages.
+/// Time after which a data centre is forgotten whose entries send no more messages.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// Fraction of its slots up to which this entry fills an upstream.
 const UTILISATION_LIMIT: f64 = 1.0;
@@ -174,6 +174,7 @@
         }
         let routes = table.configuration().routes.len();
         state.table = Some(Arc::new(table));
+        self.update_subsets(&mut state);
         drop(state);
         let fields = json!({ "generation": generation, "held": current, "routes": routes });
         self.journal.record(Priority::Important, "configuration", fields);
@@ -284,7 +285,8 @@
             None => {
                 let mut candidate = Candidate::new(upstream);
                 candidate.slowdown = slowdown;
-                state.candidates.insert(candidate.upstream.id.clone(), candidate);
+                state.insert_candidate(candidate);
+                self.update_subsets(&mut state);
             }
             Some(candidate) => {
                 candidate.missing = false;
@@ -318,7 +320,7 @@
             candidate.missing = true;
         } else {
             let Upstream { address, incarnation, .. } = candidate.upstream;
-            state.candidates.remove(id);
+            state.remove_candidate(id);
             state.departed.insert(id.to_string(), (incarnation, now));
             self.pool.close_idle(address);
         }
@@ -356,7 +358,7 @@
                 .map(|candidate| candidate.upstream.id.clone())
                 .collect();
             for id in &expired_ids {
-                state.candidates.remove(id);
+                state.remove_candidate(id);
             }
             if !expired_ids.is_empty() {
                 let fields = json!({ "upstreams": expired_ids });
@@ -364,8 +366,9 @@
             }
         }
         state.departed.retain(|_, (_, at)| now < *at + DEPARTED_RETENTION);
-        state.peer_reports.retain(|_, report| now < report.received_at + PEER_RETENTION);
-        update_peer_requests(&mut state, now);
+        state.heard.retain(|_, at| now < *at + PEER_RETENTION);
+        let changed = state.loads.remove_expired(now);
+        state.update_peer_requests(&changed);
         let partitioned = is_partitioned(&state, &self.settings.data_centre, now);
         let changed = std::mem::replace(&mut state.partitioned, partitioned) != partitioned;
         drop(state);
@@ -401,24 +404,33 @@
         self.lock().followed
     }
 
-    /// Returns all state that was read from the store.
-    pub fn snapshot(&self) -> Snapshot {
+    /// Returns the state that was read from the store since `known`, except for the entries.
+    pub fn snapshot_since(&self, known: &Progress) -> Snapshot {
         let state = self.lock();
+        let seen = state.followed;
+        let configuration = state.table.as_ref().map(|table| table.configuration());
+        let upstreams = || state.candidates.values().map(|candidate| candidate.upstream.clone());
+        let slowdowns = || state.slowdowns.iter().map(|(address, factor)| (*address, *factor));
         Snapshot {
-            seen: state.followed,
-            configuration: state.table.as_ref().map(|table| table.configuration().clone()),
-            upstreams: state
-                .candidates
-                .values()
-                .map(|candidate| candidate.upstream.clone())
-                .collect(),
-            outs: state.outs.clone(),
+            seen,
+            configuration: configuration
+                .filter(|_| seen.configuration > known.configuration)
+                .cloned(),
+            upstreams: (seen.upstreams > known.upstreams).then(|| upstreams().collect()),
+            outs: (seen.outs > known.outs).then(|| state.outs.clone()),
+            slowdowns: (seen.slowdowns > known.slowdowns).then(|| slowdowns().collect()),
+            entries: None,
         }
     }
 
+    /// Returns the registered upstreams.
+    pub fn upstreams(&self) -> Vec<Upstream> {
+        self.lock().candidates.values().map(|candidate| candidate.upstream.clone()).collect()
+    }
+
     /// Takes over those parts of another entry's snapshot that are newer.
     pub fn merge_snapshot(&self, snapshot: Snapshot) {
-        let Snapshot { seen, configuration, upstreams, outs } = snapshot;
+        let Snapshot { seen, configuration, upstreams, outs, slowdowns, entries: _ } = snapshot;
         let own = self.followed_revisions();
         self.note_restore(&mut self.lock(), own.upstreams, seen.upstreams);
         if seen.configuration > own.configuration
@@ -426,10 +438,19 @@
         {
             self.apply_table(Table::new(configuration));
         }
-        if seen.upstreams > own.upstreams {
+        if seen.upstreams > own.upstreams
+            && let Some(upstreams) = upstreams
+        {
             self.set_upstreams(upstreams);
         }
-        if seen.outs > own.outs {
+        if seen.slowdowns > own.slowdowns
+            && let Some(slowdowns) = slowdowns
+        {
+            self.set_slowdowns(slowdowns.into_iter().collect());
+        }
+        if seen.outs > own.outs
+            && let Some(outs) = outs
+        {
             let kept = if self.is_restoring() { self.outs() } else { Vec::new() };
             self.set_outs(
                 outs.into_iter().chain(kept).collect::<BTreeSet<_>>().into_iter().collect(),
@@ -439,19 +460,55 @@
         state.followed = state.followed.max(&seen);
     }
 
-    /// Sets the number of entries that share the budgets.
-    pub fn set_entries(&self, entries: u32) {
-        self.lock().entries = Some(entries);
+    /// Sets the entries that share the budgets.
+    pub fn set_entries<'a>(&self, names: impl Iterator<Item = &'a String>) {
+        let hashes: Vec<u64> = names.map(|name| stable_hash(name.as_bytes())).collect();
+        let mut state = self.lock();
+        state.entries = Some(hashes.len().max(1) as u32);
+        state.entry_hashes = hashes;
+        self.update_subsets(&mut state);
+    }
+
+    fn update_subsets(&self, state: &mut State) {
+        let entries = state.entries.unwrap_or(ASSUMED_ENTRIES);
+        let entry = stable_hash(self.settings.name.as_bytes());
+        state.update_subsets(entry, |table, service| self.share(table, service, entries));
     }
 
-    /// Records the load that another entry reported.
-    pub fn receive_load(&self, entry: String, data_centre: String, loads: HashMap<IdHash, u32>) {
-        let received_at = self.now();
+    /// Records the load that a sender reported: another entry, or a relay for several.
+    pub fn receive_load(&self, sender: &str, loads: Vec<(IdHash, u32)>) {
+        let now = self.now();
         let mut state = self.lock();
-        state.peer_reports.insert(entry, PeerReport { received_at, data_centre, loads });
-        update_peer_requests(&mut state, received_at);
+        let changed = state.loads.receive(now, sender, loads);
+        state.update_peer_requests(&changed);
+        let waiting = !state.waiting_senders.is_empty();
         drop(state);
-        self.request_dispatch();
+        if waiting {
+            self.request_dispatch();
+        }
+    }
+
+    /// Records that an entry of a data centre sent a message `age` ago.
+    pub fn record_heard(&self, data_centre: &str, age: Duration) {
+        let at = self.now().saturating_sub(age);
+        let mut state = self.lock();
+        match state.heard.get_mut(data_centre) {
+            Some(heard) => *heard = at.max(*heard),
+            None => drop(state.heard.insert(data_centre.to_string(), at)),
+        }
+    }
+
+    /// Returns the data centres from which entries sent messages, and the age of the last one.
+    pub fn heard(&self) -> Vec<(String, Duration)> {
+        let now = self.now();
+        let state = self.lock();
+        let heard = state.heard.iter();
+        heard.map(|(name, at)| (name.clone(), now.saturating_sub(*at))).collect()
+    }
+
+    /// Reads the loads that others reported.
+    pub fn read_loads<T>(&self, read: impl FnOnce(&Loads) -> T) -> T {
+        read(&self.lock().loads)
     }
 
     /// Returns the number of this entry's requests in flight, per upstream.
@@ -698,13 +755,20 @@
     /// share of what a cold upstream can handle. The limit applies at all times, because an
     /// upstream may become cold at any moment.
     fn max_sends_per_second(&self, state: &State, service: &str) -> Option<usize> {
-        let rate = state.table.as_ref()?.find_service(service)?.cold_rate;
+        let entries = state.entries.unwrap_or(ASSUMED_ENTRIES);
+        let share = self.share(state.table.as_ref()?, service, entries);
+        share.map(|share| share.sends_per_second)
+    }
+
+    /// Returns the share of what a cold upstream of a service can handle that one entry may use;
+    /// `None` if the service's upstreams are never cold.
+    fn share(&self, table: &Table, service: &str, entries: u32) -> Option<Share> {
+        let rate = table.find_service(service)?.cold_rate;
         if rate <= 0.0 {
             return None;
         }
-        let entries = state.entries.unwrap_or(ASSUMED_ENTRIES);
         let bound = rate * self.settings.cold_overshoot + self.settings.cold_slack;
-        Some(((bound / f64::from(entries + 1)).floor() as usize).max(1))
+        Some(Share::divide(bound, entries as usize))
     }
 
     fn choose(
--- a/crates/filberttrail-gateway/src/id_hash.rs
+++ b/crates/filberttrail-gateway/src/id_hash.rs
@@ -1,7 +1,6 @@
 //! Short hashes of upstream ids, which keep messages between entries small.
 
-/// The hash of an upstream id in messages between entries.
-pub type IdHash = u32;
+pub use filberttrail_fleet::loads::IdHash;
 
 /// Returns the 32-bit FNV-1a hash of an id.
 pub fn hash_id(id: &str) -> IdHash {
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id_hash;
 pub mod interface;
 pub mod memory;
+pub mod message;
 pub mod metrics;
 pub mod open_request;
 pub mod outcome;
--- /dev/null
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -0,0 +1,43 @@
+//! Messages between entries, in one datagram each.
+
+use crate::id_hash::IdHash;
+use filberttrail_fleet::snapshot::Progress;
+use filberttrail_fleet::upstream;
+use serde::{Deserialize, Serialize};
+
+/// Maximum size of a message, in bytes. It fits into one datagram on common networks.
+pub const SIZE_LIMIT: usize = 8_192;
+
+/// What a message is for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Kind {
+    /// The sender's own load, to an entry of a small estate.
+    Load,
+    /// The sender's own load, to a relay that answers with the load of all others.
+    Ask,
+    /// The answer of a relay: the load of all other entries, and the data centres from which the
+    /// relay has heard, with the age of the last news in milliseconds.
+    Answer(Vec<(String, u64)>),
+    /// The load of all entries of the sender's data centre, to a relay of another one.
+    Sum {
+        /// Number of entries whose load is included.
+        entries: usize,
+    },
+}
+
+/// A message between entries.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Message {
+    /// What the message is for.
+    pub kind: Kind,
+    /// Name of the sending entry.
+    pub entry: String,
+    /// Data centre of the sending entry.
+    pub data_centre: String,
+    /// Number of requests in flight, per upstream.
+    pub loads: Vec<(IdHash, u32)>,
+    /// Revision of the last change of each kind of object that the entry knows.
+    pub changed: Progress,
+    /// Upstreams that have said that they are about to stop, with their incarnations.
+    pub leaving: Vec<(IdHash, upstream::Incarnation)>,
+}
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -1,23 +1,29 @@
-//! Messages between entries. Each entry advertises its requests in flight and the revisions up to
-//! which it has followed the store. An entry that receives a higher revision than its own reads the
-//! store again, and if the store does not respond, fetches a snapshot from the other entry.
+//! Communication between entries. Each entry advertises its requests in flight and the revisions of
+//! the changes that it knows. An entry that receives a higher revision than its own reads the store
+//! again, and if the store does not respond, fetches a snapshot from the other entry.
+//!
+//! In a large estate, entries send to relays, and only relays watch the store (see
+//! [`filberttrail_fleet::overlay`]). The others fetch each change from a relay.
 
+use crate::follow::{self, Update};
 use crate::id_hash::IdHash;
+use crate::message::{self, Kind, Message};
 use crate::{Hub, Settings};
-use filberttrail_fleet::snapshot::Progress;
-use filberttrail_fleet::{Snapshot, upstream};
+use filberttrail_fleet::snapshot::{Entry, Progress};
+use filberttrail_fleet::{Overlay, Snapshot};
 use filberttrail_journal::journal::Priority;
 use filberttrail_store::Objects;
-use filberttrail_store::feed::{Event, Object, Written};
-use filberttrail_web::{Body, Client, Response};
-use serde::{Deserialize, Serialize};
-use serde_json::json;
-use std::collections::{BTreeMap, HashMap};
+use filberttrail_store::feed::{Object, Written};
+use filberttrail_web::server::read_body;
+use filberttrail_web::{Body, Client, Request, Response};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// The kind of object under which entries register to discover each other.
 pub const KIND: &str = "filberttrail-entries";
@@ -31,30 +37,26 @@
 /// Number of periods between messages while nothing changes. They continue because an entry that
 /// lags behind reads the store again only on a second message.
 const IDLE_ROUNDS: u64 = 4;
-/// Maximum size of a message, in bytes. It fits into one datagram on common networks.
-const MESSAGE_LIMIT: usize = 8_192;
+/// Period of the messages to and between relays.
+const RELAY_PERIOD: Duration = Duration::from_millis(250);
+/// Sender under which the answers of relays are counted. They replace each other, because each
+/// contains the load of all other entries.
+const RELAYED: &str = "";
+/// Prefix of the sender under which the load of another data centre is counted.
+const DATA_CENTRE_PREFIX: char = '/';
+/// Delay before the entries are read from the store when the whole system starts for the first
+/// time, so that most of them have registered.
+const FIRST_START_DELAY: Duration = Duration::from_millis(800);
 /// Delay before a failed registration is retried.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
-/// A message between entries.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Message {
-    /// Name of the sending entry.
-    pub entry: String,
-    /// Data centre of the sending entry.
-    pub data_centre: String,
-    /// Number of the entry's requests in flight, per upstream.
-    pub loads: Vec<(IdHash, u32)>,
-    /// Revision of the last change of each kind of object that the entry read from the store.
-    pub changed: Progress,
-    /// Upstreams that have said that they are about to stop, with their incarnations.
-    #[serde(default)]
-    pub leaving: Vec<(IdHash, upstream::Incarnation)>,
-}
-
 /// Notifications that interrupt a pending watch of the store, per kind of object.
 #[derive(Default)]
 pub struct WatchWakes {
+    /// Interrupts the watch of slow upstreams.
+    pub slowdowns: Arc<Notify>,
+    /// Interrupts the watch of entries.
+    pub entries: Arc<Notify>,
     /// Interrupts the watch of upstreams.
     pub upstreams: Arc<Notify>,
     /// Interrupts the watch of the configuration.
@@ -74,13 +76,30 @@
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout for fetching a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Minimum interval between two snapshots from a relay.
+const COPY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which the report of another data centre's relay is preferred to one with fewer entries.
+const SUM_LIFETIME: Duration = Duration::from_millis(800);
 /// Maximum size of a snapshot, in bytes.
 const SNAPSHOT_LIMIT: usize = 8 << 20;
 
+/// The load of another data centre, as one of its relays last reported it.
+struct Sum {
+    sender: String,
+    entries: usize,
+    received_at: Duration,
+}
+
 /// The other entries and the messages to and from them.
-#[derive(Default)]
 pub struct Peers {
-    addresses: Mutex<BTreeMap<String, SocketAddr>>,
+    /// All registered entries, this one included, by name.
+    entries: Mutex<Arc<BTreeMap<String, Entry>>>,
+    overlay: Mutex<Overlay>,
+    /// The reports of other data centres that are in use, by data centre.
+    sums: Mutex<HashMap<String, Sum>>,
+    /// Whether this entry watches the store, and whether it watches the entries.
+    watching: watch::Sender<bool>,
+    watching_entries: watch::Sender<bool>,
     /// Notifications that interrupt the pending watches of the store.
     pub wakes: WatchWakes,
     client: Client,
@@ -98,11 +117,56 @@
     woken_at: Duration,
     /// Time at which a snapshot was last fetched.
     fetched_at: Duration,
+    /// Whether a snapshot is being fetched.
+    fetching: bool,
 }
 
 impl Peers {
-    fn addresses(&self) -> BTreeMap<String, SocketAddr> {
-        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    /// Creates the state of an entry that knows no others.
+    pub fn new(now: Duration) -> Arc<Self> {
+        let (watching, _) = watch::channel(false);
+        let (watching_entries, _) = watch::channel(true);
+        Arc::new(Self {
+            entries: Mutex::default(),
+            overlay: Mutex::new(Overlay::new(now)),
+            sums: Mutex::default(),
+            watching,
+            watching_entries,
+            wakes: WatchWakes::default(),
+            client: Client::new(),
+            lag: Mutex::default(),
+        })
+    }
+
+    /// Returns whether this entry watches the store.
+    pub fn watching(&self) -> watch::Receiver<bool> {
+        self.watching.subscribe()
+    }
+
+    fn entries(&self) -> Arc<BTreeMap<String, Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn overlay(&self) -> MutexGuard<'_, Overlay> {
+        self.overlay.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts or stops watching the store, depending on the number of entries and on whether relays
+    /// answer.
+    fn update_watching(&self, hub: &Hub) {
+        let entries = self.entries().len();
+        let now = hub.now();
+        // Without any entry known, only the silence of relays counts.
+        let watches = self.overlay().watches_store(now, entries.max(1))
+            && (entries > 0 || self.overlay().is_unserved(now));
+        let set = |sender: &watch::Sender<bool>, value: bool| {
+            sender.send_if_modified(|current| std::mem::replace(current, value) != value)
+        };
+        if set(&self.watching, watches) {
+            let fields = json!({ "watching": watches, "entries": entries });
+            hub.journal.record(Priority::Important, "watching", fields);
+        }
+        set(&self.watching_entries, watches || entries == 0);
     }
 
     /// Advertises this entry's load and revisions to the others, and removes expired state, until
@@ -111,14 +175,21 @@
         let mut idle = false;
         let mut advertised = Progress::default();
         for round in 0u64.. {
-            let entries = self.addresses().len() as u32;
+            let entries = self.entries().len() as u32;
+            let direct = Overlay::is_direct(entries as usize);
             let period = ADVERTISE_PERIOD * entries.max(ADVERTISE_ENTRIES) / ADVERTISE_ENTRIES;
+            let period = if direct { period } else { RELAY_PERIOD };
             tokio::time::sleep(period.min(ADVERTISE_PERIOD_LIMIT)).await;
+            self.update_watching(&hub);
             hub.remove_expired();
             if hub.take_restore_end() {
                 self.wakes.upstreams.notify_one();
                 self.wakes.outs.notify_one();
             }
+            if !direct {
+                self.send_to_relays(&hub, &socket);
+                continue;
+            }
             let loads = hub.own_loads();
             let changed = hub.latest_changes();
             let due = round.is_multiple_of(IDLE_ROUNDS);
@@ -127,27 +198,56 @@
             }
             idle = loads.is_empty();
             advertised = changed;
-            let Settings { name, data_centre, .. } = &hub.settings;
-            let (entry, data_centre) = (name.clone(), data_centre.clone());
-            let leaving = hub.leaving_upstreams();
-            let message = Message { entry, data_centre, loads, changed, leaving };
-            let mut encoded = Vec::new();
-            if let Err(error) = ciborium::into_writer(&message, &mut encoded) {
-                log::error!("cannot encode the message to the other entries: {error}");
-                continue;
+            let Some(encoded) = encode(&build_message(&hub, Kind::Load, loads)) else { continue };
+            for (name, entry) in self.entries().iter() {
+                if *name != hub.settings.name {
+                    send(&socket, &encoded, entry.address);
+                }
             }
-            for (name, address) in self.addresses() {
-                if name != hub.settings.name {
-                    // A congested link may drop datagrams. The next message carries the same state.
-                    let _ = socket.try_send_to(&encoded, address);
+        }
+    }
+
+    /// Sends this entry's load to the relays of its data centre and, if it acts as a relay itself,
+    /// the load of the data centre to the relays of the others.
+    fn send_to_relays(&self, hub: &Hub, socket: &UdpSocket) {
+        let now = hub.now();
+        let entries = self.entries();
+        let Settings { name, data_centre, .. } = &hub.settings;
+        let located: BTreeMap<String, String> =
+            entries.iter().map(|(name, entry)| (name.clone(), entry.data_centre.clone())).collect();
+        let send_to = |relays: &[String], message: &Message| {
+            let Some(encoded) = encode(message) else { return };
+            for relay in relays.iter().filter(|relay| *relay != name) {
+                if let Some(entry) = entries.get(relay) {
+                    self.overlay().record_sent(now, relay);
+                    send(socket, &encoded, entry.address);
                 }
             }
+        };
+        let relays = self.overlay().choose_relays(&located, data_centre, now);
+        send_to(&relays, &build_message(hub, Kind::Ask, hub.own_loads()));
+        if !self.overlay().is_relay(now) {
+            return;
+        }
+        let is_local = |sender: &str| sender != RELAYED && !sender.starts_with(DATA_CENTRE_PREFIX);
+        let mut sums = hub.read_loads(|loads| loads.sums_of(is_local));
+        for (hash, load) in hub.own_loads() {
+            *sums.entry(hash).or_default() += load;
+        }
+        let members = hub.read_loads(|loads| loads.count_senders(is_local)) + 1;
+        let message =
+            build_message(hub, Kind::Sum { entries: members }, sums.into_iter().collect());
+        let others: BTreeSet<&String> =
+            located.values().filter(|located| *located != data_centre).collect();
+        for other in others {
+            let relays = self.overlay().choose_relays(&located, other, now);
+            send_to(&relays, &message);
         }
     }
 
     /// Receives the messages of the other entries.
     pub async fn run_receive(self: Arc<Self>, hub: Arc<Hub>, socket: Arc<UdpSocket>) {
-        let mut buffer = vec![0; MESSAGE_LIMIT];
+        let mut buffer = vec![0; message::SIZE_LIMIT];
         loop {
             let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
                 tokio::time::sleep(ADVERTISE_PERIOD).await;
@@ -155,10 +255,9 @@
             };
             match ciborium::from_reader::<Message, _>(&buffer[..length]) {
                 Ok(message) => {
-                    hub.receive_leaving(&message.leaving);
-                    let loads: HashMap<IdHash, u32> = message.loads.into_iter().collect();
-                    hub.receive_load(message.entry, message.data_centre, loads);
-                    self.catch_up(&hub, &message.changed, from);
+                    let changed = message.changed;
+                    self.receive(&hub, message, &socket, from);
+                    self.catch_up(&hub, &changed, from);
                 }
                 Err(error) => {
                     let fields = json!({ "from": from.to_string(), "fault": error.to_string() });
@@ -168,6 +267,63 @@
         }
     }
 
+    fn receive(&self, hub: &Hub, message: Message, socket: &UdpSocket, from: SocketAddr) {
+        let now = hub.now();
+        let Message { kind, entry, data_centre, loads, leaving, .. } = message;
+        hub.receive_leaving(&leaving);
+        hub.record_heard(&data_centre, Duration::ZERO);
+        match kind {
+            Kind::Load => hub.receive_load(&entry, loads),
+            Kind::Ask => {
+                self.overlay().record_asked(now);
+                hub.receive_load(RELAYED, Vec::new());
+                hub.receive_load(&entry, loads);
+                let mut sums = hub.read_loads(|loads| loads.sums_without(&entry));
+                for (hash, load) in hub.own_loads() {
+                    *sums.entry(hash).or_default() += load;
+                }
+                let heard = hub.heard().into_iter();
+                let heard = heard.map(|(name, age)| (name, age.as_millis() as u64)).collect();
+                let loads = sums.into_iter().filter(|(_, load)| *load > 0).collect();
+                if let Some(encoded) = encode(&build_message(hub, Kind::Answer(heard), loads)) {
+                    send(socket, &encoded, from);
+                }
+            }
+            Kind::Answer(heard) => {
+                self.overlay().record_answer(now, &entry);
+                for (name, age_ms) in heard {
+                    hub.record_heard(&name, Duration::from_millis(age_ms));
+                }
+                if !self.overlay().is_relay(now) {
+                    hub.receive_load(RELAYED, loads);
+                }
+            }
+            Kind::Sum { entries } => {
+                let mut overlay = self.overlay();
+                overlay.record_asked(now);
+                overlay.record_answer(now, &entry);
+                drop(overlay);
+                if self.accept_sum(now, &data_centre, &entry, entries) {
+                    hub.receive_load(&format!("{DATA_CENTRE_PREFIX}{data_centre}"), loads);
+                }
+            }
+        }
+    }
+
+    /// Returns whether the load that a relay of another data centre reports replaces the one in
+    /// use: the report with the most entries is used.
+    fn accept_sum(&self, now: Duration, data_centre: &str, sender: &str, entries: usize) -> bool {
+        let mut sums = self.sums.lock().unwrap_or_else(PoisonError::into_inner);
+        let better = sums.get(data_centre).is_none_or(|sum| {
+            sum.sender == sender || entries > sum.entries || now >= sum.received_at + SUM_LIFETIME
+        });
+        if better {
+            let sum = Sum { sender: sender.to_string(), entries, received_at: now };
+            sums.insert(data_centre.to_string(), sum);
+        }
+        better
+    }
+
     /// Interrupts the watches of the store for the kinds of which another entry knows a later
     /// change, and fetches a snapshot from that entry if the lag persists.
     fn catch_up(self: &Arc<Self>, hub: &Arc<Hub>, changed: &Progress, from: SocketAddr) {
@@ -184,6 +340,16 @@
         if !changed.is_ahead_of(&followed) {
             return;
         }
+        if !*self.watching.borrow() {
+            // Relays watch the store for this entry, so the change is fetched immediately.
+            if !lag.fetching && now >= lag.fetched_at + COPY_INTERVAL {
+                lag.fetched_at = now;
+                lag.fetching = true;
+                let (peers, hub) = (self.clone(), hub.clone());
+                tokio::spawn(async move { peers.fetch_snapshot(&hub, from).await });
+            }
+            return;
+        }
         if now < since + WAKE_DELAY {
             return;
         }
@@ -196,21 +362,38 @@
                 (changed.upstreams > followed.upstreams, &self.wakes.upstreams),
                 (changed.configuration > followed.configuration, &self.wakes.configuration),
                 (changed.outs > followed.outs, &self.wakes.outs),
+                (changed.slowdowns > followed.slowdowns, &self.wakes.slowdowns),
+                (changed.entries > followed.entries, &self.wakes.entries),
             ];
             pairs.iter().filter(|(newer, _)| *newer).for_each(|(_, wake)| wake.notify_one());
         }
-        if now >= since + SNAPSHOT_DELAY && now >= lag.fetched_at + SNAPSHOT_INTERVAL {
+        if now >= since + SNAPSHOT_DELAY
+            && now >= lag.fetched_at + SNAPSHOT_INTERVAL
+            && !lag.fetching
+        {
             lag.fetched_at = now;
+            lag.fetching = true;
             let (peers, hub) = (self.clone(), hub.clone());
             tokio::spawn(async move { peers.fetch_snapshot(&hub, from).await });
         }
     }
 
     async fn fetch_snapshot(&self, hub: &Hub, address: SocketAddr) {
+        self.merge_from(hub, address).await;
+        self.lag.lock().unwrap_or_else(PoisonError::into_inner).fetching = false;
+    }
+
+    async fn merge_from(&self, hub: &Hub, address: SocketAddr) {
+        let mut known = Vec::new();
+        if let Err(error) = ciborium::into_writer(&hub.followed_revisions(), &mut known) {
+            log::error!("cannot encode the revisions for another entry: {error}");
+            return;
+        }
         let request = hyper::Request::builder()
+            .method(Method::POST)
             .uri("/")
             .header(hyper::header::HOST, address.to_string())
-            .body(Body::empty());
+            .body(Body::new(known));
         let Ok(request) = request else { return };
         let response = self.client.fetch(address, request, SNAPSHOT_TIMEOUT, SNAPSHOT_LIMIT).await;
         let snapshot = response.map_err(|error| error.to_string()).and_then(|response| {
@@ -224,60 +407,115 @@
         });
         hub.journal.record(Priority::Important, "asked_entry", fields);
         if let Ok(snapshot) = snapshot {
+            if let Some(entries) = snapshot.entries.clone()
+                && snapshot.seen.entries > hub.followed_revisions().entries
+            {
+                self.set_entries(hub, entries);
+            }
             hub.merge_snapshot(snapshot);
         }
     }
 
+    fn set_entries(&self, hub: &Hub, entries: BTreeMap<String, Entry>) {
+        hub.set_entries(entries.keys());
+        let count = entries.len();
+        *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(entries);
+        hub.journal.record(Priority::Important, "entries", json!({ "count": count }));
+        self.update_watching(hub);
+    }
+
+    /// Responds to another entry, whose request has the revisions that it knows, with a snapshot of
+    /// what was read from the store since.
+    pub async fn serve_snapshot(self: Arc<Self>, hub: Arc<Hub>, request: Request) -> Response {
+        let body = read_body(request.into_body(), message::SIZE_LIMIT, SNAPSHOT_TIMEOUT).await;
+        let known = match body {
+            Ok(body) => ciborium::from_reader(&body[..]).unwrap_or_default(),
+            Err(problem) => return problem.into_response(),
+        };
+        let mut snapshot = hub.snapshot_since(&known);
+        if snapshot.seen.entries > known.entries {
+            snapshot.entries = Some((*self.entries()).clone());
+        }
+        let mut encoded = Vec::new();
+        if let Err(error) = ciborium::into_writer(&snapshot, &mut encoded) {
+            log::error!("cannot encode the snapshot for another entry: {error}");
+        }
+        Response::new(Body::new(encoded))
+    }
+
     /// Registers this entry and follows the registrations of the others.
     pub async fn run_follow(self: Arc<Self>, hub: Arc<Hub>, objects: Arc<Objects>) {
         register(&hub, &objects).await;
-        let mut events = objects.follow(KIND, Arc::default());
+        if hub.settings.first_start {
+            tokio::time::sleep(FIRST_START_DELAY).await;
+        }
+        let active = self.watching_entries.subscribe();
+        let mut events = objects.follow(KIND, self.wakes.entries.clone(), active);
         while let Some(event) = events.recv().await {
-            let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
-            match event {
-                Event::All(all, _) => {
-                    *addresses = all.iter().filter_map(decode_address).collect();
+            let update = follow::record_event(&hub, KIND, |progress| &mut progress.entries, event);
+            let mut entries = (*self.entries()).clone();
+            match update {
+                Some(Update::All(all)) => {
+                    entries = all.iter().filter_map(decode_entry).collect();
                     // A restored store may lack this entry's registration.
-                    if addresses.get(&hub.settings.name) != Some(&hub.settings.peers) {
+                    let own = entries.get(&hub.settings.name).map(|entry| entry.address);
+                    if own != Some(hub.settings.peers) {
                         let (hub, objects) = (hub.clone(), objects.clone());
                         tokio::spawn(async move { register(&hub, &objects).await });
                     }
                 }
-                Event::Changed(changes, _) => {
+                Some(Update::Changed(changes)) => {
                     for change in changes {
-                        match decode_address(&change.object).filter(|_| !change.removed) {
-                            Some((name, address)) => drop(addresses.insert(name, address)),
-                            None => drop(addresses.remove(&change.object.name)),
+                        match decode_entry(&change.object).filter(|_| !change.removed) {
+                            Some((name, entry)) => drop(entries.insert(name, entry)),
+                            None => drop(entries.remove(&change.object.name)),
                         }
                     }
                 }
-                Event::Lost(_) | Event::Regained => continue,
+                None => continue,
             }
-            let entries = addresses.len().max(1) as u32;
-            drop(addresses);
-            hub.set_entries(entries);
-            hub.journal.record(Priority::Important, "entries", json!({ "count": entries }));
+            self.set_entries(&hub, entries);
         }
     }
 }
 
-/// Responds to another entry with a snapshot of all state that was read from the store.
-pub fn serve_snapshot(hub: &Hub) -> Response {
+fn build_message(hub: &Hub, kind: Kind, loads: Vec<(IdHash, u32)>) -> Message {
+    Message {
+        kind,
+        entry: hub.settings.name.clone(),
+        data_centre: hub.settings.data_centre.clone(),
+        loads,
+        changed: hub.latest_changes(),
+        leaving: hub.leaving_upstreams(),
+    }
+}
+
+fn encode(message: &Message) -> Option<Vec<u8>> {
     let mut encoded = Vec::new();
-    if let Err(error) = ciborium::into_writer(&hub.snapshot(), &mut encoded) {
-        log::error!("cannot encode the snapshot for another entry: {error}");
+    if let Err(error) = ciborium::into_writer(message, &mut encoded) {
+        log::error!("cannot encode the message to the other entries: {error}");
+        return None;
     }
-    Response::new(Body::new(encoded))
+    Some(encoded)
+}
+
+fn send(socket: &UdpSocket, encoded: &[u8], address: SocketAddr) {
+    // A congested link may drop datagrams. The next message carries the same state.
+    let _ = socket.try_send_to(encoded, address);
 }
 
-fn decode_address(object: &Object) -> Option<(String, SocketAddr)> {
+fn decode_entry(object: &Object) -> Option<(String, Entry)> {
     let address = object.value.get("address")?.as_str()?.parse().ok()?;
-    Some((object.name.clone(), address))
+    let data_centre = object.value.get("data_centre").and_then(Value::as_str);
+    let data_centre = data_centre.unwrap_or_default().to_string();
+    Some((object.name.clone(), Entry { address, data_centre }))
 }
 
 async fn register(hub: &Hub, objects: &Objects) {
     let name = &hub.settings.name;
-    let value = json!({ "address": hub.settings.peers.to_string() });
+    let value = json!({
+        "address": hub.settings.peers.to_string(), "data_centre": hub.settings.data_centre,
+    });
     let mut expected_revision = None;
     loop {
         match objects.put(KIND, name, &value, expected_revision).await {
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -3,15 +3,15 @@
 use crate::id_hash::{IdHash, hash_id};
 use crate::permit::Permit;
 use filberttrail_fleet::snapshot::Progress;
-use filberttrail_fleet::{Admission, Budget, Candidate, Table, upstream};
+use filberttrail_fleet::subset::{self, Share};
+use filberttrail_fleet::{Admission, Budget, Candidate, Loads, Table, upstream};
+use filberttrail_kernel::digest::stable_hash;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Time for which the load in a message from another entry is taken into account.
-const PEER_LOAD_LIFETIME: Duration = Duration::from_millis(1_000);
 /// Time without messages from other data centres after which this one counts as partitioned from
 /// them. Entries send messages at least every 0.4 s.
 const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
@@ -23,13 +23,6 @@
 /// Time for which departed upstreams are remembered. Copies of the store are some seconds old.
 pub(crate) const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
 
-/// The last message from another entry.
-pub(crate) struct PeerReport {
-    pub received_at: Duration,
-    pub data_centre: String,
-    pub loads: HashMap<IdHash, u32>,
-}
-
 /// Candidates, queues, budgets, and what was read from the store and received from other entries.
 #[derive(Default)]
 pub(crate) struct State {
@@ -52,8 +45,14 @@
     pub longest_timeouts: HashMap<String, Duration>,
     /// Number of entries that share the budgets, once it is known.
     pub entries: Option<u32>,
-    /// Last messages from other entries, by the name of the entry.
-    pub peer_reports: HashMap<String, PeerReport>,
+    /// Hashes of the names of all entries.
+    pub entry_hashes: Vec<u64>,
+    /// Loads that other entries reported.
+    pub loads: Loads,
+    /// Ids of the candidates, by their hash.
+    pub candidate_ids: HashMap<IdHash, upstream::Id>,
+    /// Time of the last news from an entry of each data centre.
+    pub heard: HashMap<String, Duration>,
     /// Kinds of objects for which the store is unavailable.
     pub unavailable_kinds: HashSet<&'static str>,
     /// Time at which the store last became available again for upstreams.
@@ -73,15 +72,48 @@
     pub latest_changes: Progress,
 }
 
-/// Updates the number of other entries' requests in flight on each upstream.
-pub(crate) fn update_peer_requests(state: &mut State, now: Duration) {
-    for candidate in state.candidates.values_mut() {
-        let hash = hash_id(&candidate.upstream.id);
-        let fresh = state
-            .peer_reports
-            .values()
-            .filter(|report| now < report.received_at + PEER_LOAD_LIFETIME);
-        candidate.peer_requests = fresh.filter_map(|report| report.loads.get(&hash)).sum();
+impl State {
+    /// Adds a candidate with the load that other entries have reported for it.
+    pub(crate) fn insert_candidate(&mut self, candidate: Candidate) {
+        let id = candidate.upstream.id.clone();
+        let hash = hash_id(&id);
+        self.candidate_ids.insert(hash, id.clone());
+        self.candidates.insert(id, candidate);
+        self.update_peer_requests(&[hash]);
+    }
+
+    /// Removes a candidate.
+    pub(crate) fn remove_candidate(&mut self, id: &str) {
+        self.candidate_ids.remove(&hash_id(id));
+        self.candidates.remove(id);
+    }
+
+    /// Updates the number of other entries' requests in flight on upstreams whose load changed.
+    pub(crate) fn update_peer_requests(&mut self, changed: &[IdHash]) {
+        for hash in changed {
+            let id = self.candidate_ids.get(hash);
+            if let Some(candidate) = id.and_then(|id| self.candidates.get_mut(id)) {
+                candidate.peer_requests = self.loads.sum(*hash);
+            }
+        }
+    }
+
+    /// Updates of which upstreams' subsets this entry is a member. `share` returns the share of a
+    /// service's upstreams that one entry may use, if they are limited.
+    pub(crate) fn update_subsets(
+        &mut self,
+        entry: u64,
+        share: impl Fn(&Table, &str) -> Option<Share>,
+    ) {
+        let Self { table, candidates, entry_hashes, .. } = self;
+        let Some(table) = table else { return };
+        for candidate in candidates.values_mut() {
+            let share = share(table, &candidate.upstream.service);
+            candidate.in_subset = share.and_then(|share| share.members).is_none_or(|members| {
+                let upstream = stable_hash(candidate.upstream.id.as_bytes());
+                subset::is_member(entry, entry_hashes, upstream, members)
+            });
+        }
     }
 }
 
@@ -89,14 +121,9 @@
 /// messages any more, and no rank of a lock-step group responds. Callers are better served by
 /// another entry then.
 pub(crate) fn is_partitioned(state: &State, local_data_centre: &str, now: Duration) -> bool {
-    let mut elsewhere = state
-        .peer_reports
-        .values()
-        .filter(|report| report.data_centre != local_data_centre)
-        .peekable();
-    if elsewhere.peek().is_none()
-        || elsewhere.any(|report| now < report.received_at + PEER_SILENCE_TIMEOUT)
-    {
+    let mut elsewhere =
+        state.heard.iter().filter(|(data_centre, _)| *data_centre != local_data_centre).peekable();
+    if elsewhere.peek().is_none() || elsewhere.any(|(_, at)| now < *at + PEER_SILENCE_TIMEOUT) {
         return false;
     }
     let ranks = state.candidates.values().filter(|candidate| candidate.upstream.rank.is_some());
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -241,31 +241,43 @@
     /// Lists a kind and then watches it until the receiver is dropped.
     ///
     /// `wake` interrupts a pending watch and lists the objects again; it is for callers that have
-    /// learned of a newer revision from another process.
+    /// learned of a newer revision from another process. While `active` is false, nothing is
+    /// requested from the store.
     pub fn follow(
         self: &Arc<Self>,
         kind: &'static str,
         wake: Arc<Notify>,
+        active: watch::Receiver<bool>,
     ) -> mpsc::Receiver<Event> {
         let (sender, receiver) = mpsc::channel(EVENT_CAPACITY);
         let objects = self.clone();
-        tokio::spawn(async move { objects.run_watch(kind, &wake, &sender).await });
+        tokio::spawn(async move { objects.run_watch(kind, &wake, active, &sender).await });
         receiver
     }
 
-    async fn run_watch(&self, kind: &str, wake: &Notify, events: &mpsc::Sender<Event>) {
+    async fn run_watch(
+        &self,
+        kind: &str,
+        wake: &Notify,
+        mut active: watch::Receiver<bool>,
+        events: &mpsc::Sender<Event>,
+    ) {
         let mut last_seen: Option<Revision> = None;
         let mut delay = RETRY_DELAY;
         let mut lost = false;
         let mut era = self.era.subscribe();
         while !events.is_closed() {
             let seen_era = last_seen.map(revision::era);
+            // Closing the channel leaves the last value in force.
+            let _ = active.wait_for(|active| *active).await;
+            let mut inactive = active.clone();
             let result = tokio::select! {
                 result = self.poll_once(kind, &mut last_seen, lost, events) => result,
                 () = wake.notified() => {
                     last_seen = None;
                     continue;
                 }
+                Ok(_) = inactive.wait_for(|active| !*active) => continue,
                 _ = era.wait_for(|era| seen_era.is_some() && *era > seen_era) => {
                     last_seen = None;
                     continue;
