Pass on changes that a relay has only heard of, and doubt relays without the store

Ruled out: a stalled copy (copies before and after took milliseconds); a lost message (250 ms apart). Change: a copy brings the revisions of the last changes too, so they are passed on; an answer says whether the store responds to the relay, and one without the store does not keep its members from watching it themselves.

--- a/crates/filberttrail-fleet/src/overlay.rs
+++ b/crates/filberttrail-fleet/src/overlay.rs
@@ -23,7 +23,7 @@
 const AVOIDED_FOR: Duration = Duration::from_millis(6_000);
 /// Time for which an entry acts as a relay after the last message to it as one.
 const ROLE_LIFETIME: Duration = Duration::from_millis(3_000);
-/// Time without an answer from any relay after which an entry watches the store itself. Bounds on
+/// Time without an answer from any relay that the store responds to, after which an entry watches the store itself. Bounds on
 /// changes are 2 s or more, and the store answers within some tenths of a second.
 const UNSERVED_LIMIT: Duration = Duration::from_millis(1_100);
 
@@ -35,7 +35,7 @@
     avoided_until: HashMap<String, Duration>,
     /// Time of the last message to this entry as a relay.
     asked_at: Option<Duration>,
-    /// Time of the last answer from a relay, or of the start.
+    /// Time of the last answer from a relay to which the store responds, or of the start.
     served_at: Duration,
 }
 
@@ -80,9 +80,12 @@
         }
     }
 
-    /// Records an answer from a relay.
-    pub fn record_answer(&mut self, now: Duration, relay: &str) {
-        self.served_at = now;
+    /// Records an answer from a relay. A relay to which the store does not respond may not know the
+    /// latest changes, so it does not replace watching the store.
+    pub fn record_answer(&mut self, now: Duration, relay: &str, store_available: bool) {
+        if store_available {
+            self.served_at = now;
+        }
         self.unanswered_since.remove(relay);
         self.avoided_until.remove(relay);
     }
--- a/crates/filberttrail-fleet/src/snapshot.rs
+++ b/crates/filberttrail-fleet/src/snapshot.rs
@@ -61,6 +61,8 @@
 pub struct Snapshot {
     /// Revisions up to which the entry has followed the store.
     pub seen: Progress,
+    /// Revisions of the last changes that the entry knows.
+    pub changed: Progress,
     /// The active configuration.
     pub configuration: Option<Configuration>,
     /// All registered upstreams.
--- a/crates/filberttrail-fleet/tests/overlay.rs
+++ b/crates/filberttrail-fleet/tests/overlay.rs
@@ -132,6 +132,16 @@
     /// Lets all entries send to their relays for `duration`. Messages arrive between entries for
     /// which `reaches` is true.
     fn run(&mut self, duration: Duration, reaches: impl Fn(&str, &str) -> bool) {
+        self.run_with(duration, reaches, |_| true);
+    }
+
+    /// The same, with a store that responds only to the entries for which `available` is true.
+    fn run_with(
+        &mut self,
+        duration: Duration,
+        reaches: impl Fn(&str, &str) -> bool,
+        available: impl Fn(&str) -> bool,
+    ) {
         let until = self.now + duration;
         while self.now < until {
             self.now += TICK;
@@ -158,10 +168,10 @@
                     }
                     self.overlay(&relay).record_asked(now);
                     if asks && reaches(&relay, &name) {
-                        self.overlay(&name).record_answer(now, &relay);
+                        self.overlay(&name).record_answer(now, &relay, available(&relay));
                     }
                     if !asks {
-                        self.overlay(&relay).record_answer(now, &name);
+                        self.overlay(&relay).record_answer(now, &name, true);
                     }
                 }
             }
@@ -211,3 +221,23 @@
     let inside = estate.watchers().into_iter().filter(|name| located[*name] == "zone-1").count();
     assert!((2..=3).contains(&inside), "{inside} entries inside watch the store");
 }
+
+/// The store turns away a third of the entries, the relays of a data centre among them.
+#[test]
+fn entries_whose_relays_cannot_reach_the_store_watch_it_themselves() {
+    let mut estate = Estate::new();
+    estate.run(Duration::from_secs(5), |_, _| true);
+    let relays: Vec<String> = estate.watchers().into_iter().cloned().collect();
+    let located = estate.entries.clone();
+    let turned_away =
+        |name: &str| located[name] == "zone-1" && relays.iter().any(|relay| relay == name);
+    estate.run_with(Duration::from_millis(1_500), |_, _| true, |name| !turned_away(name));
+    let watching: Vec<&String> = estate.watchers();
+    assert!(
+        located
+            .iter()
+            .filter(|(_, zone)| *zone == "zone-1")
+            .all(|(name, _)| { watching.contains(&name) })
+    );
+    assert!(watching.len() < ENTRIES / 2, "the other data centres are not affected");
+}
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -399,6 +399,11 @@
         self.lock().latest_changes
     }
 
+    /// Returns whether the store responds to this entry.
+    pub fn is_store_available(&self) -> bool {
+        self.lock().unavailable_kinds.is_empty()
+    }
+
     /// Returns the revisions up to which the store was followed.
     pub fn followed_revisions(&self) -> Progress {
         self.lock().followed
@@ -413,6 +418,7 @@
         let slowdowns = || state.slowdowns.iter().map(|(address, factor)| (*address, *factor));
         Snapshot {
             seen,
+            changed: state.latest_changes,
             configuration: configuration
                 .filter(|_| seen.configuration > known.configuration)
                 .cloned(),
@@ -430,7 +436,7 @@
 
     /// Takes over those parts of another entry's snapshot that are newer.
     pub fn merge_snapshot(&self, snapshot: Snapshot) {
-        let Snapshot { seen, configuration, upstreams, outs, slowdowns, entries: _ } = snapshot;
+        let Snapshot { seen, changed, configuration, upstreams, outs, slowdowns, .. } = snapshot;
         let own = self.followed_revisions();
         self.note_restore(&mut self.lock(), own.upstreams, seen.upstreams);
         if seen.configuration > own.configuration
@@ -458,6 +464,8 @@
         }
         let mut state = self.lock();
         state.followed = state.followed.max(&seen);
+        // Others hear from this entry of changes that it has not read from the store itself.
+        state.latest_changes = state.latest_changes.max(&changed);
     }
 
     /// Sets the entries that share the budgets.
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -17,7 +17,12 @@
     Ask,
     /// The answer of a relay: the load of all other entries, and the data centres from which the
     /// relay has heard, with the age of the last news in milliseconds.
-    Answer(Vec<(String, u64)>),
+    Answer {
+        /// Names of the data centres, and ages.
+        heard: Vec<(String, u64)>,
+        /// Whether the store responds to the relay.
+        store_available: bool,
+    },
     /// The load of all entries of the sender's data centre, to a relay of another one.
     Sum {
         /// Number of entries whose load is included.
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -285,12 +285,13 @@
                 let heard = hub.heard().into_iter();
                 let heard = heard.map(|(name, age)| (name, age.as_millis() as u64)).collect();
                 let loads = sums.into_iter().filter(|(_, load)| *load > 0).collect();
-                if let Some(encoded) = encode(&build_message(hub, Kind::Answer(heard), loads)) {
+                let kind = Kind::Answer { heard, store_available: hub.is_store_available() };
+                if let Some(encoded) = encode(&build_message(hub, kind, loads)) {
                     send(socket, &encoded, from);
                 }
             }
-            Kind::Answer(heard) => {
-                self.overlay().record_answer(now, &entry);
+            Kind::Answer { heard, store_available } => {
+                self.overlay().record_answer(now, &entry, store_available);
                 for (name, age_ms) in heard {
                     hub.record_heard(&name, Duration::from_millis(age_ms));
                 }
@@ -301,7 +302,7 @@
             Kind::Sum { entries } => {
                 let mut overlay = self.overlay();
                 overlay.record_asked(now);
-                overlay.record_answer(now, &entry);
+                overlay.record_answer(now, &entry, false);
                 drop(overlay);
                 if self.accept_sum(now, &data_centre, &entry, entries) {
                     hub.receive_load(&format!("{DATA_CENTRE_PREFIX}{data_centre}"), loads);
