Read the store again after a pause before serving by what was known

Ruled out: rate limits, loads and retry budgets: their ages use the clock since boot. Change: a gap of 1.5 s between ticks marks what is known as stale; the store is read again, and requests and grants wait for it, for 0.5 s at most.

--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -60,6 +60,7 @@
 /// Responds to a caller's request.
 pub async fn handle(hub: Arc<Hub>, request: Request) -> Response {
     let arrived = hub.now();
+    hub.wait_until_fresh().await;
     let mut response = match CallerRequest::read(&hub, request).await {
         Err((id, problem)) => problem_response::respond(&hub, &id, arrived, problem),
         Ok(caller_request) => {
--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -206,7 +206,7 @@
             return None;
         }
     };
-    hub.record_progress(pick, seen, changed.unwrap_or_default().min(seen));
+    hub.record_progress(kind, pick, seen, changed.unwrap_or_default().min(seen));
     Some(update)
 }
 
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -38,6 +38,8 @@
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// Fraction of its slots up to which this entry fills an upstream.
 const UTILISATION_LIMIT: f64 = 1.0;
+/// Interval at which requests check whether the knowledge is fresh after a pause.
+const REFRESH_POLL: Duration = Duration::from_millis(10);
 /// Maximum number of leaving upstreams in a message to other entries.
 const LEAVING_LIMIT: usize = 64;
 /// A request counts as a caller's retry if its time left is below this fraction of the longest one
@@ -79,7 +81,9 @@
         metrics: Metrics,
     ) -> Arc<Self> {
         let pool = Pool::new(clock.clone());
-        let state = Mutex::default();
+        let mut state = State::default();
+        state.freshness.tick(clock.now());
+        let state = Mutex::new(state);
         let draining = AtomicBool::new(false);
         let grace_over = AtomicBool::new(false);
         let dispatch_requested = Notify::new();
@@ -154,6 +158,30 @@
         self.journal.record(Priority::Important, "paces", json!({ "slow": slow }));
     }
 
+    /// Records that the process runs, and returns whether it was paused before.
+    pub fn record_tick(&self) -> bool {
+        let pause = self.lock().freshness.tick(self.now());
+        if let Some(pause) = pause {
+            let fields = json!({ "paused_ms": pause.as_millis() as u64 });
+            self.journal.record(Priority::Important, "resumed", fields);
+        }
+        pause.is_some()
+    }
+
+    /// Returns whether the process was paused and has not read the store again yet.
+    pub fn is_stale(&self) -> bool {
+        let now = self.now();
+        self.lock().freshness.is_stale(now)
+    }
+
+    /// Waits until what is known was read after the last pause of the process, for a short time at
+    /// most.
+    pub async fn wait_until_fresh(&self) {
+        while self.is_stale() {
+            tokio::time::sleep(REFRESH_POLL).await;
+        }
+    }
+
     /// Returns the active configuration. Returns nothing until the upstreams and the data centres
     /// out of service are known too.
     pub fn table(&self) -> Option<Arc<Table>> {
@@ -382,6 +410,7 @@
     /// Records the revision up to which a kind of object was followed, and that of its last change.
     pub fn record_progress(
         &self,
+        kind: &'static str,
         pick: fn(&mut Progress) -> &mut Revision,
         seen: Revision,
         changed: Revision,
@@ -389,6 +418,8 @@
         let mut state = self.lock();
         let previous = *pick(&mut state.followed);
         self.note_restore(&mut state, previous, seen);
+        let Interface { upstreams, configuration, outs, .. } = self.interface;
+        state.freshness.record_read(kind, &[upstreams, configuration.0, outs]);
         *pick(&mut state.followed) = seen.max(previous);
         let previous = pick(&mut state.latest_changes);
         *previous = changed.max(*previous);
@@ -808,6 +839,9 @@
     /// Grants free slots to the requests that wait for a service.
     pub fn dispatch(self: &Arc<Self>, service: &str) {
         let mut grants: Grants = Vec::new();
+        if self.is_stale() {
+            return;
+        }
         {
             let mut state = self.lock();
             let Some(queue) = state.queues.get(service).filter(|queue| !queue.is_empty()) else {
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -66,6 +66,14 @@
     pub outs: Arc<Notify>,
 }
 
+impl WatchWakes {
+    fn notify_all(&self) {
+        let kinds = [&self.upstreams, &self.configuration, &self.outs];
+        let others = [&self.slowdowns, &self.entries];
+        kinds.into_iter().chain(others).for_each(|wake| wake.notify_one());
+    }
+}
+
 /// Time for which this entry may lag behind before it reads the store again. Watches receive the
 /// same change at about the same time, so a shorter lag is normal.
 const WAKE_DELAY: Duration = Duration::from_millis(250);
@@ -181,6 +189,9 @@
             let period = ADVERTISE_PERIOD * entries.max(ADVERTISE_ENTRIES) / ADVERTISE_ENTRIES;
             let period = if direct { period } else { RELAY_PERIOD };
             tokio::time::sleep(period.min(ADVERTISE_PERIOD_LIMIT)).await;
+            if hub.record_tick() {
+                self.wakes.notify_all();
+            }
             self.update_watching(&hub);
             hub.remove_expired();
             if hub.take_restore_end() {
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -4,7 +4,7 @@
 use crate::permit::Permit;
 use filberttrail_fleet::snapshot::Progress;
 use filberttrail_fleet::subset::{self, Share};
-use filberttrail_fleet::{Admission, Budget, Candidate, Loads, Table, upstream};
+use filberttrail_fleet::{Admission, Budget, Candidate, Freshness, Loads, Table, upstream};
 use filberttrail_kernel::digest::stable_hash;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -57,6 +57,8 @@
     pub unavailable_kinds: HashSet<&'static str>,
     /// Time at which the store last became available again for upstreams.
     pub upstreams_regained_at: Duration,
+    /// Whether what is known was read since the last pause of the process.
+    pub freshness: Freshness,
     /// Time at which the store was last found to be restored from a copy that lacks the latest
     /// writes, until the objects have been listed again after [`RESTORE_GRACE`].
     pub restored_at: Option<Duration>,
--- a/crates/filberttrail-journal/src/journal.rs
+++ b/crates/filberttrail-journal/src/journal.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// The maximum size of the buffer, in bytes.
 const BUFFER_LIMIT: usize = 256 << 10;
@@ -36,12 +37,14 @@
     node: String,
     clock: clock::Shared,
     lines: Arc<Mutex<Lines>>,
+    /// Notified when the buffer has lines to write, so that an idle process is not woken.
+    filled: Arc<Notify>,
 }
 
 impl Journal {
     /// Creates an empty journal; `node` is the process's name in each line.
     pub fn new(node: impl Into<String>, clock: clock::Shared) -> Self {
-        Self { node: node.into(), clock, lines: Arc::default() }
+        Self { node: node.into(), clock, lines: Arc::default(), filled: Arc::default() }
     }
 
     /// Appends a line with the time, in milliseconds since the clock's origin, the node, the event
@@ -66,6 +69,8 @@
         }
         lines.buffered.extend(text.as_bytes());
         lines.buffered.push_back(b'\n');
+        drop(lines);
+        self.filled.notify_one();
     }
 
     /// Returns the number of dropped lines.
@@ -79,7 +84,8 @@
         lines.buffered.drain(..).collect()
     }
 
-    /// Writes buffered lines to standard output periodically, until the future is dropped.
+    /// Writes buffered lines to standard output at intervals while there are some, until the future
+    /// is dropped.
     ///
     /// Lines are dropped if standard output is read too slowly.
     pub async fn run(self) {
@@ -87,8 +93,13 @@
             log::warn!("cannot set standard output to non-blocking mode: {error}");
         }
         loop {
+            self.filled.notified().await;
             tokio::time::sleep(FLUSH_PERIOD).await;
             self.flush();
+            let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+            if !lines.buffered.is_empty() {
+                self.filled.notify_one();
+            }
         }
     }
 
