Measure what coordinating a group costs at 8 to 256 ranks

Change: 'bench control': bytes of a round and of a prepared map, through relays and directly, the time to compute a change of 16 layers, and pass time against a full repack.

--- a/crates/filberttrail-bench/src/lib.rs
+++ b/crates/filberttrail-bench/src/lib.rs
@@ -2,6 +2,7 @@
 //! policies, and the cost of the relay and of state.
 
 pub mod capacity;
+pub mod control;
 pub mod departure;
 pub mod failures;
 pub mod limits;
--- a/crates/filberttrail-cli/src/commands/measure/mod.rs
+++ b/crates/filberttrail-cli/src/commands/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Commands that run benchmarks and simulations.
 
 pub mod capacity;
+pub mod control;
 pub mod departure;
 pub mod failures;
 pub mod limits;
