Ask relays only for the upstreams that an entry may use

Ruled out: a longer period (loads grow stale); answers in parts (two relays that cut them differently would count loads twice). Change: an entry names the upstreams of its subset, 700 at most, and gets their load; sums between relays may be up to 60 kB.

--- a/crates/filberttrail-fleet/src/loads.rs
+++ b/crates/filberttrail-fleet/src/loads.rs
@@ -69,15 +69,19 @@
         self.sums.get(&upstream).copied().unwrap_or_default()
     }
 
-    /// Returns the loads of all upstreams without those that one sender reported.
-    pub fn sums_without(&self, sender: &str) -> HashMap<IdHash, u32> {
-        let mut sums = self.sums.clone();
+    /// Returns the loads of upstreams without those that one sender reported. Upstreams without load
+    /// are left out.
+    pub fn sums_without(&self, sender: &str, upstreams: &[IdHash]) -> Vec<(IdHash, u32)> {
+        let mut own: HashMap<IdHash, u32> = HashMap::new();
         for (hash, load) in self.reports.get(sender).into_iter().flat_map(|report| &report.loads) {
-            if let Some(sum) = sums.get_mut(hash) {
-                *sum = sum.saturating_sub(*load);
-            }
+            let sum = own.entry(*hash).or_default();
+            *sum = sum.saturating_add(*load);
         }
-        sums
+        let others = |hash: &IdHash| {
+            self.sum(*hash).saturating_sub(own.get(hash).copied().unwrap_or_default())
+        };
+        let sums = upstreams.iter().map(|hash| (*hash, others(hash)));
+        sums.filter(|(_, load)| *load > 0).collect()
     }
 
     /// Returns the loads that senders for which `select` is true reported, added up.
--- a/crates/filberttrail-fleet/tests/overlay.rs
+++ b/crates/filberttrail-fleet/tests/overlay.rs
@@ -48,7 +48,8 @@
                     .map(|(_, load)| load)
                     .sum()
             };
-            let without = loads.sums_without(&sender);
+            let without: HashMap<u32, u32> =
+                loads.sums_without(&sender, &Vec::from_iter(0..9)).into_iter().collect();
             (0..9).all(|upstream| {
                 loads.sum(upstream) == expected(upstream, "")
                     && without.get(&upstream).copied().unwrap_or(0) == expected(upstream, &sender)
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -545,6 +545,13 @@
         heard.map(|(name, at)| (name.clone(), now.saturating_sub(*at))).collect()
     }
 
+    /// Returns the upstreams in whose subsets this entry is, `limit` at most.
+    pub fn subset_upstreams(&self, limit: usize) -> Vec<IdHash> {
+        let state = self.lock();
+        let usable = state.candidates.values().filter(|candidate| candidate.in_subset);
+        usable.map(|candidate| hash_id(&candidate.upstream.id)).take(limit).collect()
+    }
+
     /// Reads the loads that others reported.
     pub fn read_loads<T>(&self, read: impl FnOnce(&Loads) -> T) -> T {
         read(&self.lock().loads)
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -5,16 +5,22 @@
 use filberttrail_fleet::upstream;
 use serde::{Deserialize, Serialize};
 
-/// Maximum size of a message, in bytes. It fits into one datagram on common networks.
-pub const SIZE_LIMIT: usize = 8_192;
+/// Maximum size of a message, in bytes. The largest are the sums between relays, with 7 bytes for each
+/// upstream in use; all others fit into one packet.
+pub const SIZE_LIMIT: usize = 60_000;
+
+/// Maximum number of upstreams that an entry asks a relay for. More do not fit into an answer; the
+/// others seem to have no load from other entries.
+pub const UPSTREAMS_LIMIT: usize = 700;
 
 /// What a message is for.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Kind {
     /// The sender's own load, to an entry of a small estate.
     Load,
-    /// The sender's own load, to a relay that answers with the load of all others.
-    Ask,
+    /// The sender's own load, to a relay that answers with the load of all others on the upstreams
+    /// that the sender may use.
+    Ask(Vec<IdHash>),
     /// The answer of a relay: the load of all other entries, and the data centres from which the
     /// relay has heard, with the age of the last news in milliseconds.
     Answer {
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -237,7 +237,8 @@
             }
         };
         let relays = self.overlay().choose_relays(&located, data_centre, now);
-        send_to(&relays, &build_message(hub, Kind::Ask, hub.own_loads()));
+        let wanted = hub.subset_upstreams(message::UPSTREAMS_LIMIT);
+        send_to(&relays, &build_message(hub, Kind::Ask(wanted), hub.own_loads()));
         if !self.overlay().is_relay(now) {
             return;
         }
@@ -286,19 +287,16 @@
         hub.record_heard(&data_centre, Duration::ZERO);
         match kind {
             Kind::Load => hub.receive_load(&entry, loads),
-            Kind::Ask => {
+            Kind::Ask(wanted) => {
                 self.overlay().record_asked(now);
                 hub.receive_load(RELAYED, Vec::new());
                 hub.receive_load(&entry, loads);
-                let mut sums = hub.read_loads(|loads| loads.sums_without(&entry));
-                for (hash, load) in hub.own_loads() {
-                    *sums.entry(hash).or_default() += load;
-                }
+                let mut sums = hub.read_loads(|loads| loads.sums_without(&entry, &wanted));
+                sums.extend(hub.own_loads().into_iter().filter(|(hash, _)| wanted.contains(hash)));
                 let heard = hub.heard().into_iter();
                 let heard = heard.map(|(name, age)| (name, age.as_millis() as u64)).collect();
-                let loads = sums.into_iter().filter(|(_, load)| *load > 0).collect();
                 let kind = Kind::Answer { heard, store_available: hub.is_store_available() };
-                if let Some(encoded) = encode(&build_message(hub, kind, loads)) {
+                if let Some(encoded) = encode(&build_message(hub, kind, sums)) {
                     send(socket, &encoded, from);
                 }
             }
