Show the active generation and the age of the store's responses as metrics

The metrics port now has filberttrail_generation and filberttrail_store_age_seconds by kind of object. The follower reports responses without changes too (Event::Unchanged), so the age covers them. No decision depends on either.

Test: shows_the_active_generation_and_the_age_of_the_stores_responses.

--- a/crates/filberttrail-gateway/src/daemon.rs
+++ b/crates/filberttrail-gateway/src/daemon.rs
@@ -180,7 +180,7 @@
 }
 
 fn respond_metrics(hub: &Hub) -> Response {
-    match hub.metrics.render() {
+    match hub.render_metrics() {
         Ok(text) => Response::new(Body::new(text)),
         Err(error) => {
             log::error!("cannot render metrics: {error}");
--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -197,6 +197,10 @@
             let changed = changes.iter().map(|change| change.object.revision).max();
             (Update::Changed(changes), seen, changed)
         }
+        Event::Unchanged(seen) => {
+            hub.record_progress(kind, pick, seen, Revision::default());
+            return None;
+        }
         Event::Lost(error) => {
             hub.record_store_state(kind, Some(error));
             return None;
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -418,6 +418,7 @@
         let mut state = self.lock();
         let previous = *pick(&mut state.followed);
         self.note_restore(&mut state, previous, seen);
+        state.responded_at.insert(kind, self.now());
         let Interface { upstreams, configuration, outs, .. } = self.interface;
         state.freshness.record_read(kind, &[upstreams, configuration.0, outs]);
         *pick(&mut state.followed) = seen.max(previous);
@@ -425,6 +426,19 @@
         *previous = changed.max(*previous);
     }
 
+    /// Encodes the metrics in the Prometheus text format.
+    pub fn render_metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let now = self.now();
+        let state = self.lock();
+        let table = state.table.as_ref();
+        self.metrics.set_generation(table.map_or(0, |table| table.configuration().generation));
+        for (kind, at) in &state.responded_at {
+            self.metrics.set_store_age(kind, now.saturating_sub(*at));
+        }
+        drop(state);
+        self.metrics.render()
+    }
+
     /// Returns the revision of the last known change of each kind of object.
     pub fn latest_changes(&self) -> Progress {
         self.lock().latest_changes
--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Prometheus metrics of the gateway.
 
 use prometheus::core::Metric;
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 use std::time::Duration;
 
 /// The counters and histograms of a gateway.
@@ -12,6 +15,8 @@
     latency: Histogram,
     wait: Histogram,
     relay: Histogram,
+    generation: IntGauge,
+    store_age: GaugeVec,
 }
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -34,6 +39,11 @@
             latency: histogram("filberttrail_latency_seconds", "Time to the head of an answer")?,
             wait: histogram("filberttrail_wait_seconds", "Time that a request waited for a slot")?,
             relay: histogram("filberttrail_relay_seconds", "Time to pass a streamed event on")?,
+            generation: IntGauge::new("filberttrail_generation", "Active configuration")?,
+            store_age: GaugeVec::new(
+                Opts::new("filberttrail_store_age_seconds", "Time since the store last responded"),
+                &["kind"],
+            )?,
             registry,
         };
         metrics.registry.register(Box::new(metrics.responses.clone()))?;
@@ -41,9 +51,21 @@
         metrics.registry.register(Box::new(metrics.latency.clone()))?;
         metrics.registry.register(Box::new(metrics.wait.clone()))?;
         metrics.registry.register(Box::new(metrics.relay.clone()))?;
+        metrics.registry.register(Box::new(metrics.generation.clone()))?;
+        metrics.registry.register(Box::new(metrics.store_age.clone()))?;
         Ok(metrics)
     }
 
+    /// Sets the generation of the active configuration; 0 while there is none.
+    pub fn set_generation(&self, generation: u64) {
+        self.generation.set(generation as i64);
+    }
+
+    /// Sets the time since the store last responded to a call about a kind of object.
+    pub fn set_store_age(&self, kind: &str, age: Duration) {
+        self.store_age.with_label_values(&[kind]).set(age.as_secs_f64());
+    }
+
     /// Counts a response to a caller and records the latency of its head.
     pub fn record_response(&self, outcome: &str, latency: Duration) {
         self.responses.with_label_values(&[outcome]).inc();
--- a/crates/filberttrail-gateway/tests/metrics.rs
+++ b/crates/filberttrail-gateway/tests/metrics.rs
@@ -21,3 +21,13 @@
     metrics.record_relay(Duration::from_millis(1));
     assert_eq!(metrics.relayed_within(Duration::from_millis(5)), (1, None));
 }
+
+#[test]
+fn shows_the_active_generation_and_the_age_of_the_stores_responses() {
+    let metrics = Metrics::new().expect("metrics");
+    metrics.set_generation(23);
+    metrics.set_store_age("config", Duration::from_millis(1_500));
+    let text = String::from_utf8(metrics.render().expect("metrics")).expect("UTF-8 text");
+    assert!(text.contains("filberttrail_generation 23"), "{text}");
+    assert!(text.contains(r#"filberttrail_store_age_seconds{kind="config"} 1.5"#), "{text}");
+}
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -104,6 +104,8 @@
     All(Vec<Object>, Revision),
     /// Changes, oldest first, up to this revision.
     Changed(Vec<Change>, Revision),
+    /// The store responded that nothing has changed up to this revision.
+    Unchanged(Revision),
     /// The store failed to respond, or its response was invalid; the text describes the failure.
     Lost(String),
     /// The store responds again.
@@ -331,7 +333,9 @@
         let joined = |change: Change| Change { object: response.joined(change.object), ..change };
         let changes: Vec<Change> = changes.into_iter().map(joined).collect();
         *last_seen = Some(revision.max(after));
-        if !changes.is_empty() {
+        if changes.is_empty() {
+            let _ = events.send(Event::Unchanged(revision)).await;
+        } else {
             let _ = events.send(Event::Changed(changes, revision)).await;
             tokio::time::sleep(BATCH_DELAY).await;
         }
