Check pending watches of the store, so that a swallowed one hides no change

Callers saw: routes and keys that a confirmed configuration had dropped were still served by all gateways, new ones answered 404, for up to 20 s after an outage of the store (CONFIG, DENIED).

Cause: the silence of a pending watch was taken for 'nothing has changed'. A watch that reaches the store while it is down is never answered, though its connection stays open and TCP keep-alive is content; the gateway waited for its own time-out of 26.5 s. After a change all gateways send their next watch at the same time, so an outage right then swallows all of them and no entry knows more.

Ruled out: an unreadable configuration (nothing logged, and a next watch would have followed); a slow keep-alive (watches sent before the outage ended normally over the same links).

Change: while a watch waits, a call that may be stale (a tenth of the price) asks each second whether the store responds and knows of changes, for the first time after 0.3 s. A change it knows of, or its failure, ends the watch. Entries report changes to each other, so above 8 of them each checks less often: the calls don't grow with their number. Reading is now apart from delivering, so an interrupted watch can't lose changes it has read (watcher.rs).

--- a/crates/filberttrail-fleet/src/overlay.rs
+++ b/crates/filberttrail-fleet/src/overlay.rs
@@ -23,8 +23,9 @@
 const AVOIDED_FOR: Duration = Duration::from_millis(6_000);
 /// Time for which an entry acts as a relay after the last message to it as one.
 const ROLE_LIFETIME: Duration = Duration::from_millis(3_000);
-/// Time without an answer from any relay that the store responds to, after which an entry watches the store itself. Bounds on
-/// changes are 2 s or more, and the store answers within some tenths of a second.
+/// Time without an answer from any relay that the store responds to, after which an entry watches
+/// the store itself. Bounds on changes are 2 s or more, and the store answers within some tenths of
+/// a second.
 const UNSERVED_LIMIT: Duration = Duration::from_millis(1_100);
 
 /// What one entry knows of the others that relay for it.
@@ -50,6 +51,12 @@
         entries <= DIRECT_LIMIT
     }
 
+    /// Returns the number of entries that watch the store, this one included, and report changes to
+    /// each other within tenths of a second. With relays, only those of one data centre count.
+    pub fn count_watchers(entries: usize) -> u32 {
+        if Self::is_direct(entries) { entries as u32 } else { RELAYS as u32 }
+    }
+
     /// Returns the relays of one data centre. `entries` has the data centre of each other entry, by
     /// name.
     pub fn choose_relays(
--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -11,8 +11,16 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+/// Interval at which the watches of the configuration, upstreams and data centres out of service are
+/// checked. With the timeout of a call it stays below the 3 s after which changes that follow an
+/// outage have to be in force.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which the other watches are checked: what they report is a matter of efficiency.
+pub(crate) const RELAXED_CHECK_INTERVAL: Duration = Duration::from_millis(3_000);
+
 /// Follows the registrations of upstreams.
 pub async fn run_upstreams(
     hub: Arc<Hub>,
@@ -22,7 +30,7 @@
 ) {
     let kind = hub.interface.upstreams;
     let read = hub.interface.read_upstream;
-    let mut events = objects.follow(kind, wake, active);
+    let mut events = objects.follow(kind, CHECK_INTERVAL, wake, active);
     while let Some(event) = events.recv().await {
         match record_event(&hub, kind, |progress| &mut progress.upstreams, event) {
             Some(Update::All(all)) => {
@@ -63,7 +71,7 @@
     active: watch::Receiver<bool>,
 ) {
     let (kind, name) = hub.interface.configuration;
-    let mut events = objects.follow(kind, wake, active);
+    let mut events = objects.follow(kind, CHECK_INTERVAL, wake, active);
     while let Some(event) = events.recv().await {
         let object = match record_event(&hub, kind, |progress| &mut progress.configuration, event) {
             Some(Update::All(all)) => all.into_iter().rfind(|object| object.name == name),
@@ -98,7 +106,7 @@
     active: watch::Receiver<bool>,
 ) {
     let kind = hub.interface.outs;
-    let mut events = objects.follow(kind, wake, active);
+    let mut events = objects.follow(kind, CHECK_INTERVAL, wake, active);
     let mut outs = BTreeSet::new();
     while let Some(event) = events.recv().await {
         match record_event(&hub, kind, |progress| &mut progress.outs, event) {
@@ -131,7 +139,7 @@
     active: watch::Receiver<bool>,
 ) {
     let kind = slowdown::KIND;
-    let mut events = objects.follow(kind, wake, active);
+    let mut events = objects.follow(kind, RELAXED_CHECK_INTERVAL, wake, active);
     let mut slowdowns: HashMap<String, Slowdown> = HashMap::new();
     while let Some(event) = events.recv().await {
         match record_event(&hub, kind, |progress| &mut progress.slowdowns, event) {
@@ -201,6 +209,10 @@
             hub.record_progress(kind, pick, seen, Revision::default());
             return None;
         }
+        Event::Checked => {
+            hub.record_store_response(kind);
+            return None;
+        }
         Event::Lost(error) => {
             hub.record_store_state(kind, Some(error));
             return None;
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -407,6 +407,12 @@
         self.request_dispatch();
     }
 
+    /// Records that the store responded to a call about a kind of object.
+    pub fn record_store_response(&self, kind: &'static str) {
+        let now = self.now();
+        self.lock().responded_at.insert(kind, now);
+    }
+
     /// Records the revision up to which a kind of object was followed, and that of its last change.
     pub fn record_progress(
         &self,
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -5,7 +5,7 @@
 //! In a large estate, entries send to relays, and only relays watch the store (see
 //! [`filberttrail_fleet::overlay`]). The others fetch each change from a relay.
 
-use crate::follow::{self, Update};
+use crate::follow::{self, RELAXED_CHECK_INTERVAL, Update};
 use crate::id_hash::IdHash;
 use crate::message::{self, Kind, Message};
 use crate::{Hub, Settings};
@@ -461,7 +461,8 @@
             tokio::time::sleep(FIRST_START_DELAY).await;
         }
         let active = self.watching_entries.subscribe();
-        let mut events = objects.follow(KIND, self.wakes.entries.clone(), active);
+        let mut events =
+            objects.follow(KIND, RELAXED_CHECK_INTERVAL, self.wakes.entries.clone(), active);
         while let Some(event) = events.recv().await {
             let update = follow::record_event(&hub, KIND, |progress| &mut progress.entries, event);
             let mut entries = (*self.entries()).clone();
@@ -485,6 +486,7 @@
                 }
                 None => continue,
             }
+            objects.set_checkers(Overlay::count_watchers(entries.len()));
             self.set_entries(&hub, entries);
         }
     }
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -3,14 +3,15 @@
 //! Revisions never decrease. If the store has discarded the history since the last revision seen, or
 //! was restored from a copy, the objects are listed again.
 
-use crate::follow::jitter;
 use crate::revision;
+use crate::watcher::Watcher;
 use bytes::Bytes;
 use filberttrail_kernel::{Error, Result};
 use filberttrail_web::Client;
 use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -19,16 +20,9 @@
 
 /// The timeout of a call. The store responds within milliseconds; a slow one takes a few hundred.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The duration of one watch request. An unresponsive connection is detected sooner: TCP keep-alive
-/// probes close it, and entries advertise the revisions that they have seen to each other.
-const WATCH_DURATION: Duration = Duration::from_millis(25_000);
-/// The delay after a response with changes, so that further changes arrive in one batch. It must
-/// stay well below the few seconds within which changes have to come into force.
-const BATCH_DELAY: Duration = Duration::from_millis(300);
-/// The initial delay before a retry, doubled after each failure up to [`RETRY_DELAY_LIMIT`].
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The maximum delay before a retry: a recovered store has to be detected within 1 s.
-const RETRY_DELAY_LIMIT: Duration = Duration::from_millis(800);
+/// The number of checks of a kind that all processes together make in an interval. With more
+/// processes each checks less often, so that the calls to the store don't grow with their number.
+const CHECKS_PER_INTERVAL: u32 = 8;
 /// The maximum size of a response body, in bytes.
 const RESPONSE_LIMIT: usize = 8 << 20;
 /// The maximum number of events that wait for the receiver.
@@ -43,6 +37,9 @@
     pub list: fn(kind: &str, after: Option<&str>) -> String,
     /// Builds the path that waits for changes of a kind since the revision `after`.
     pub watch: fn(kind: &str, after: Revision, wait: Duration) -> String,
+    /// Builds the path that returns the changes of a kind since the revision `after` without
+    /// waiting; the response may lack the changes of the last seconds.
+    pub stale_changes: fn(kind: &str, after: Revision) -> String,
     /// Builds the path of one object.
     pub object: fn(kind: &str, name: &str) -> String,
     /// Decodes one page of a list; `None` if it is malformed.
@@ -106,6 +103,8 @@
     Changed(Vec<Change>, Revision),
     /// The store responded that nothing has changed up to this revision.
     Unchanged(Revision),
+    /// The store responded, but may not know the changes of the last seconds.
+    Checked,
     /// The store failed to respond, or its response was invalid; the text describes the failure.
     Lost(String),
     /// The store responds again.
@@ -130,6 +129,8 @@
     client: Client,
     /// The highest era of a response so far.
     era: watch::Sender<Option<u64>>,
+    /// The number of processes that check their watches and report changes to each other.
+    checkers: AtomicU32,
 }
 
 /// A response and the era of the store that sent it.
@@ -149,7 +150,8 @@
     /// Creates a client of the store at an address.
     pub fn new(address: SocketAddr, dialect: Dialect) -> Arc<Self> {
         let (era, _) = watch::channel(None);
-        Arc::new(Self { address, dialect, client: Client::new(), era })
+        let checkers = AtomicU32::new(1);
+        Arc::new(Self { address, dialect, client: Client::new(), era, checkers })
     }
 
     /// Returns the store's era as of the last response; `None` before the first one. The era rises
@@ -242,104 +244,80 @@
 
     /// Lists a kind and then watches it until the receiver is dropped.
     ///
+    /// A pending watch is checked each `check_interval`, or less often if other processes check
+    /// theirs too (see [`Self::set_checkers`]).
+    ///
     /// `wake` interrupts a pending watch and lists the objects again; it is for callers that have
     /// learned of a newer revision from another process. While `active` is false, nothing is
     /// requested from the store.
     pub fn follow(
         self: &Arc<Self>,
         kind: &'static str,
+        check_interval: Duration,
         wake: Arc<Notify>,
         active: watch::Receiver<bool>,
     ) -> mpsc::Receiver<Event> {
         let (sender, receiver) = mpsc::channel(EVENT_CAPACITY);
-        let objects = self.clone();
-        tokio::spawn(async move { objects.run_watch(kind, &wake, active, &sender).await });
+        let watcher = Watcher::new(self.clone(), kind, check_interval, sender);
+        tokio::spawn(async move { watcher.run(&wake, active).await });
         receiver
     }
 
-    async fn run_watch(
+    /// Returns the changes of a kind since a revision, as soon as there are some, or none after
+    /// `wait`. `None` if they are no longer known: the objects have to be listed again.
+    pub(crate) async fn watch(
         &self,
         kind: &str,
-        wake: &Notify,
-        mut active: watch::Receiver<bool>,
-        events: &mpsc::Sender<Event>,
-    ) {
-        let mut last_seen: Option<Revision> = None;
-        let mut delay = RETRY_DELAY;
-        let mut lost = false;
-        let mut era = self.era.subscribe();
-        while !events.is_closed() {
-            let seen_era = last_seen.map(revision::era);
-            // Closing the channel leaves the last value in force.
-            let _ = active.wait_for(|active| *active).await;
-            let mut inactive = active.clone();
-            let result = tokio::select! {
-                result = self.poll_once(kind, &mut last_seen, lost, events) => result,
-                () = wake.notified() => {
-                    last_seen = None;
-                    continue;
-                }
-                Ok(_) = inactive.wait_for(|active| !*active) => continue,
-                _ = era.wait_for(|era| seen_era.is_some() && *era > seen_era) => {
-                    last_seen = None;
-                    continue;
-                }
-            };
-            match result {
-                Ok(()) => {
-                    if std::mem::take(&mut lost) {
-                        let _ = events.send(Event::Regained).await;
-                    }
-                    delay = RETRY_DELAY;
-                }
-                Err(error) => {
-                    if !std::mem::replace(&mut lost, true) {
-                        let text = error.current_context().to_string();
-                        let _ = events.send(Event::Lost(text)).await;
-                    }
-                    tokio::time::sleep(jitter(delay)).await;
-                    delay = (delay * 2).min(RETRY_DELAY_LIMIT);
-                }
-            }
-        }
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Option<Changes>> {
+        let path = (self.dialect.watch)(kind, revision::number(after), wait);
+        self.read_changes(kind, after, &path, wait + CALL_TIMEOUT).await
+    }
+
+    /// Returns a revision up to which no object of a kind has changed since `after`, or `None` if
+    /// some have. Costs less than [`Self::watch`], and may miss the changes of the last seconds.
+    pub(crate) async fn check(&self, kind: &str, after: Revision) -> Result<Option<Revision>> {
+        let path = (self.dialect.stale_changes)(kind, revision::number(after));
+        let changes = self.read_changes(kind, after, &path, CALL_TIMEOUT).await?;
+        let unchanged = changes.filter(|changes| changes.changes.is_empty());
+        Ok(unchanged.map(|changes| changes.revision.max(after)))
     }
 
-    async fn poll_once(
+    async fn read_changes(
         &self,
         kind: &str,
-        last_seen: &mut Option<Revision>,
-        lost: bool,
-        events: &mpsc::Sender<Event>,
-    ) -> Result<()> {
-        let Some(after) = *last_seen else {
-            let (objects, revision) = self.list(kind).await?;
-            let _ = events.send(Event::All(objects, revision)).await;
-            *last_seen = Some(revision);
-            return Ok(());
-        };
-        // After a failure, polls without waiting, so that the store's recovery is detected
-        // immediately.
-        let wait = if lost { Duration::ZERO } else { WATCH_DURATION };
-        let path = (self.dialect.watch)(kind, revision::number(after), wait);
-        let response = self.call(Method::GET, &path, Vec::new(), wait + CALL_TIMEOUT).await?;
+        after: Revision,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Option<Changes>> {
+        let response = self.call(Method::GET, path, Vec::new(), timeout).await?;
         if response.status == StatusCode::GONE || response.era > revision::era(after) {
-            *last_seen = None;
-            return Ok(());
+            return Ok(None);
         }
         expect_ok(kind, &response)?;
         let Changes { changes, revision } =
             (self.dialect.read_changes)(&response.body).ok_or_else(|| malformed(kind))?;
-        let revision = revision::join(response.era, revision);
         let joined = |change: Change| Change { object: response.joined(change.object), ..change };
-        let changes: Vec<Change> = changes.into_iter().map(joined).collect();
-        *last_seen = Some(revision.max(after));
-        if changes.is_empty() {
-            let _ = events.send(Event::Unchanged(revision)).await;
-        } else {
-            let _ = events.send(Event::Changed(changes, revision)).await;
-            tokio::time::sleep(BATCH_DELAY).await;
-        }
-        Ok(())
+        let changes = changes.into_iter().map(joined).collect();
+        Ok(Some(Changes { changes, revision: revision::join(response.era, revision) }))
+    }
+
+    /// Sets the number of processes, this one included, that check their watches and report changes
+    /// to each other. Together they check a kind about [`CHECKS_PER_INTERVAL`] times an interval.
+    pub fn set_checkers(&self, checkers: u32) {
+        self.checkers.store(checkers, Ordering::Relaxed);
+    }
+
+    /// Returns the interval of this process's checks, of which `interval` is the shortest.
+    pub(crate) fn share_checks(&self, interval: Duration) -> Duration {
+        let checkers = self.checkers.load(Ordering::Relaxed).max(CHECKS_PER_INTERVAL);
+        interval * checkers / CHECKS_PER_INTERVAL
+    }
+
+    /// Receives the store's era whenever it rises.
+    pub(crate) fn subscribe_era(&self) -> watch::Receiver<Option<u64>> {
+        self.era.subscribe()
     }
 
     /// Sends a request. Fails if the response is from an era that has ended: the store was
--- a/crates/filberttrail-store/src/lib.rs
+++ b/crates/filberttrail-store/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod revision;
 pub mod slowdown;
 pub mod status;
+mod watcher;
 
 pub use client::{Platform, Write};
 pub use feed::Objects;
