Close the idle connections of an address after a call to it timed out

The client took the next idle connection after each time-out, so with five silent ones it needed five calls, 7.5 s, to reach a store that was there all the time; TCP keep-alive takes 3 s. Now a time-out closes the idle connections to that address and the next call opens a new one.

--- a/crates/filberttrail-web/src/client.rs
+++ b/crates/filberttrail-web/src/client.rs
@@ -95,7 +95,7 @@
 
     /// Sends a request and reads the complete response.
     ///
-    /// Fails after `timeout`, or if the response body exceeds `limit` bytes.
+    /// Fails after `timeout`, and closes the idle connections to the address then, or if the response body exceeds `limit` bytes.
     pub async fn fetch(
         &self,
         address: SocketAddr,
@@ -112,6 +112,8 @@
         match tokio::time::timeout(timeout, exchange).await {
             Ok(response) => response,
             Err(_) => {
+                // Whatever silenced this connection may have silenced the idle ones too.
+                self.close_idle(address);
                 let error = format!("no response within {} ms", timeout.as_millis());
                 Err(Failure { sent: true, error })
             }
@@ -150,6 +152,12 @@
         Some(senders.swap_remove(ready))
     }
 
+    fn close_idle(&self, address: SocketAddr) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.remove(&address);
+        }
+    }
+
     fn put_idle(&self, address: SocketAddr, sender: SendRequest<Body>) {
         if let Ok(mut idle) = self.idle.lock() {
             let senders = idle.entry(address).or_default();
