Log the shared parts of a prompt with each failed attempt and broken stream

The logs of second1 could not tell whether the streams that broke as an engine crashed had anything in common. attempt and broken_off lines now name the parts of the prompt that other requests may share, and broken_off the upstream. The header is decoded in platform/; malformed ones give no parts. No decision depends on them.

--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -232,6 +232,7 @@
     let fields = json!({
         "request": caller_request.id, "upstream": upstream_id, "service": caller_request.service,
         "outcome": label, "fault": attempts.last_error, "sent": attempts.failed_sent,
+        "parts": caller_request.shared_parts,
     });
     hub.journal.record(Priority::Important, "attempt", fields);
 }
--- a/crates/filberttrail-gateway/src/caller_request.rs
+++ b/crates/filberttrail-gateway/src/caller_request.rs
@@ -57,6 +57,8 @@
     pub deadline: Duration,
     /// Sequence number of the last event that the caller of a stream has received.
     pub after_event: Option<SequenceNumber>,
+    /// Ids of the parts of its prompt that other requests may share, in order.
+    pub shared_parts: Vec<String>,
     /// Logs the request as cut off if it is dropped before its end.
     pub open_request: OpenRequest,
 }
@@ -112,6 +114,8 @@
         // 9 is the least urgent priority.
         let priority = team.and_then(|team| team.priority).unwrap_or(route.priority).min(9);
         let after_event = text(&names.after_event).and_then(|last| last.trim().parse().ok());
+        let shared_parts = parts.headers.get(&names.prompt);
+        let shared_parts = shared_parts.map(hub.interface.read_shared_parts).unwrap_or_default();
         let team = team.map(|team| team.name.clone());
         let limit = table.configuration().body_bytes;
         drop(table);
@@ -135,6 +139,7 @@
             is_caller_retry,
             arrived,
             deadline: arrived + timeout,
+            shared_parts,
             after_event,
             route,
         })
--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -254,6 +254,7 @@
         let fields = json!({
             "request": self.caller_request.id, "fault": format!("{failed:?}"),
             "sent": self.attempts.failed_sent, "after_event": self.splitter.last(),
+            "upstream": self.source_id, "parts": self.caller_request.shared_parts,
         });
         self.hub.journal.record(Priority::Important, "broken_off", fields);
     }
