Blame prompt parts for crashes, and stop sending the one that causes them

Callers saw: for 25 s at a time next to no draft was served (27 s to 38 s: 2 of some 40 a second), since each group crashed again as soon as it was open. Operators saw twelve engines end.

Cause: no gateway connected one broken stream with another. A request whose answer broke off as its engine crashed was sent to the next engine at once, by the gateway and again by its caller through other gateways, and nothing told a request that crashes engines from one that a crash cut off. Class: a request whose harm is found only by running it, in a system that repeats what failed.

Ruled out: cold engines that are flooded (few were cold); retries alone (the next crash comes with the opening, seconds later).

Change: fleet::blame decides, without I/O. A crash accuses the shared parts of the prompts of the answers that had begun there and had not lived (events for 0.5 s, 5 arrivals); an answer that lives clears its parts. An accused part is a suspect: two entries may send it, each one request at a time, and what breaks off under it is not sent again. A part that stays accused (4 points; a crash 1, one during a trial 2, crashes within 1 s outside trials count once) is condemned: its requests are refused at once with 503, 'not run', and a Retry-After of 600 s, until none came for 600 s. Parts that answers have survived within 10 s are no suspects. Entries send accusations, acquittals and verdicts with the messages that they exchange anyway, at once if they are new, through relays too. A crash is one only if the upstream's port refuses connections; resets and silence accuse nobody. An answer with neither length nor chunks that ends before its first event counts as broken.

--- a/crates/filberttrail-fleet/src/lib.rs
+++ b/crates/filberttrail-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod blame;
 pub mod budget;
 pub mod candidate;
 pub mod configuration;
--- /dev/null
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -0,0 +1,380 @@
+//! Which prompt parts are blamed for crashes, by one entry and by simulated estates whose messages
+//! are late and lost.
+
+use filberttrail_fleet::blame::{
+    CONDEMNED_LIFETIME, Crash, Decision, Ledger, PartId, TRIAL_ENTRIES, has_lived,
+};
+use filberttrail_kernel::digest::mix;
+use std::time::Duration;
+
+const BAD: PartId = 666;
+const FIRST: PartId = 1;
+const SUBJECT: PartId = 50;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn crash(number: u32) -> Crash {
+    Crash { upstream: number, incarnation: 7 }
+}
+
+fn decide(ledger: &mut Ledger, at: Duration, parts: &[PartId]) -> Decision {
+    ledger.decide(at, parts, |_| true)
+}
+
+#[test]
+fn a_part_that_crashes_upstreams_is_condemned_and_its_companions_are_not() {
+    let mut ledger = Ledger::new();
+    ledger.record_lived(ms(0), &[FIRST, SUBJECT]);
+    assert_eq!(decide(&mut ledger, ms(100), &[FIRST, BAD]), Decision::Free);
+    assert!(ledger.record_crash(ms(200), crash(1), &[FIRST, BAD], &[]).is_empty());
+    for (number, at) in [(2, 5_000), (3, 9_000)] {
+        let trial = decide(&mut ledger, ms(at), &[FIRST, BAD]);
+        assert_eq!(trial, Decision::Trial(vec![BAD]), "the first part has lived recently");
+        ledger.begin_trial(&[BAD]);
+        assert_eq!(decide(&mut ledger, ms(at + 1), &[SUBJECT, BAD]), Decision::Suspect(BAD));
+        let condemned = ledger.record_crash(ms(at + 50), crash(number), &[FIRST, BAD], &[BAD]);
+        ledger.end_trial(&[BAD]);
+        assert_eq!(condemned, if number == 3 { vec![BAD] } else { Vec::new() });
+    }
+    assert_eq!(decide(&mut ledger, ms(9_100), &[SUBJECT, BAD]), Decision::Condemned(BAD));
+    ledger.record_lived(ms(9_200), &[FIRST]);
+    assert_eq!(decide(&mut ledger, ms(9_300), &[FIRST, SUBJECT]), Decision::Free);
+}
+
+#[test]
+fn an_answer_that_lives_clears_its_parts() {
+    let mut ledger = Ledger::new();
+    ledger.record_crash(ms(0), crash(1), &[SUBJECT], &[]);
+    let trial = decide(&mut ledger, ms(100), &[SUBJECT]);
+    assert_eq!(trial, Decision::Trial(vec![SUBJECT]));
+    ledger.end_trial(&[SUBJECT]);
+    assert_eq!(ledger.record_lived(ms(900), &[SUBJECT]), [SUBJECT]);
+    assert_eq!(decide(&mut ledger, ms(1_000), &[SUBJECT]), Decision::Free);
+    assert!(!has_lived(4, ms(5_000)) && !has_lived(50, ms(499)) && has_lived(5, ms(500)));
+}
+
+#[test]
+fn many_upstreams_that_crash_at_one_moment_condemn_nothing() {
+    let mut ledger = Ledger::new();
+    for number in 0..40 {
+        let parts = [FIRST, SUBJECT, 1_000 + u64::from(number)];
+        assert!(ledger.record_crash(ms(10), crash(number), &parts, &[]).is_empty());
+    }
+    assert_eq!(decide(&mut ledger, ms(20), &[SUBJECT]), Decision::Trial(vec![SUBJECT]));
+}
+
+#[test]
+fn a_part_of_most_requests_outlasts_crashes_that_another_part_causes() {
+    // Nothing lives between the crashes, as each follows the opening of the only group.
+    let mut ledger = Ledger::new();
+    ledger.record_lived(ms(0), &[FIRST]);
+    for number in 0..4 {
+        let at = ms(5_000 * u64::from(number) + 1);
+        assert!(ledger.record_crash(at, crash(number), &[FIRST], &[]).is_empty());
+    }
+}
+
+#[test]
+fn only_entries_that_may_try_a_suspect_send_it() {
+    let mut ledger = Ledger::new();
+    ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
+    assert_eq!(ledger.decide(ms(1), &[BAD], |_| false), Decision::Suspect(BAD));
+}
+
+#[test]
+fn a_condemned_part_is_forgotten_after_a_time_without_requests() {
+    let mut ledger = Ledger::new();
+    ledger.condemn(ms(0), BAD);
+    assert_eq!(decide(&mut ledger, ms(5_000), &[BAD]), Decision::Condemned(BAD));
+    assert!(ledger.remove_expired(CONDEMNED_LIFETIME).is_empty(), "it was requested since");
+    assert_eq!(ledger.remove_expired(CONDEMNED_LIFETIME + ms(5_000)), [BAD]);
+    assert_eq!(decide(&mut ledger, CONDEMNED_LIFETIME + ms(5_001), &[BAD]), Decision::Free);
+}
+
+#[test]
+fn reports_are_bounded_and_tell_about_every_part_in_turn() {
+    let mut ledger = Ledger::new();
+    for part in 0..500 {
+        ledger.record_crash(ms(0), crash(part as u32), &[part], &[]);
+    }
+    let mut other = Ledger::new();
+    for round in 0..40 {
+        let report = ledger.report(ms(10_000 + round));
+        assert!(report.accused.len() <= 64, "{}", report.accused.len());
+        other.receive(ms(10_000 + round), &report);
+    }
+    for part in 0..500 {
+        let decision = other.decide(ms(11_000), &[part], |_| false);
+        assert_eq!(decision, Decision::Suspect(part));
+    }
+}
+
+#[test]
+fn absurd_reports_are_harmless() {
+    let mut ledger = Ledger::new();
+    let mut report = ledger.report(ms(0));
+    report.accused.push((1, crash(1), u64::MAX, true));
+    report.cleared.push((2, u64::MAX));
+    report.condemned.push((3, u64::MAX));
+    ledger.receive(ms(1_000_000), &report);
+    assert_eq!(decide(&mut ledger, ms(1_000_000), &[1, 2, 3]), Decision::Free);
+}
+
+/// A request that an upstream answers.
+struct Run {
+    entry: usize,
+    group: usize,
+    upstream: u32,
+    started: u64,
+    parts: Vec<PartId>,
+    /// The parts that are on trial.
+    suspects: Vec<PartId>,
+}
+
+/// An estate in simulated time: entries with a ledger each, and groups of upstreams.
+struct Estate {
+    entries: Vec<Ledger>,
+    /// Time at which each group is open again.
+    open_at: Vec<u64>,
+    running: Vec<Run>,
+    /// Time of each crash that the bad part caused, and of each request with it that was sent.
+    crashes: Vec<u64>,
+    bad_sends: Vec<u64>,
+    sound_sent: usize,
+    sound_refused: usize,
+    condemned: Vec<PartId>,
+    next_crash: u32,
+}
+
+/// The load and the troubles of a simulated estate.
+#[derive(Clone, Copy)]
+struct Terms {
+    entries: usize,
+    groups: usize,
+    ranks: u32,
+    /// Mean number of sound requests and of requests with the bad part in 10 ms.
+    sound: f64,
+    bad: f64,
+    /// Time that a message takes, and the fraction that is lost.
+    delay_ms: u64,
+    loss: f64,
+    /// Mean time between crashes with another cause; 0 for none.
+    other_crashes_ms: u64,
+    /// Mean time between restarts of an entry, which then asks the others; 0 for none.
+    restarts_ms: u64,
+}
+
+const TERMS: Terms = Terms {
+    entries: 7,
+    groups: 2,
+    ranks: 8,
+    sound: 0.7,
+    bad: 0.05,
+    delay_ms: 2,
+    loss: 0.05,
+    other_crashes_ms: 0,
+    restarts_ms: 0,
+};
+/// Time that a group takes to open after a crash.
+const CLOSED_MS: u64 = 4_500;
+/// Times from the start of an answer until it crashes its upstream, has lived, and ends.
+const CRASH_AFTER_MS: u64 = 60;
+const LIVED_AFTER_MS: u64 = 600;
+const ENDS_AFTER_MS: u64 = 1_500;
+
+impl Estate {
+    fn play(terms: Terms, seed: u64, until_ms: u64) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut estate = Self {
+            entries: (0..terms.entries).map(|_| Ledger::new()).collect(),
+            open_at: vec![0; terms.groups],
+            running: Vec::new(),
+            crashes: Vec::new(),
+            bad_sends: Vec::new(),
+            sound_sent: 0,
+            sound_refused: 0,
+            condemned: Vec::new(),
+            next_crash: 0,
+        };
+        let mut messages = Vec::new();
+        for now in (0..until_ms).step_by(10) {
+            messages.retain(|(at, to, report): &(u64, usize, _)| {
+                if *at <= now {
+                    let condemned = estate.entries[*to].receive(ms(now), report);
+                    estate.condemned.extend(condemned);
+                }
+                *at > now
+            });
+            for from in 0..terms.entries {
+                if (now / 10 + from as u64).is_multiple_of(10) {
+                    let report = estate.entries[from].report(ms(now));
+                    for to in (0..terms.entries).filter(|to| *to != from) {
+                        if random.f64() >= terms.loss {
+                            messages.push((now + terms.delay_ms, to, report.clone()));
+                        }
+                    }
+                }
+            }
+            let count = |random: &mut fastrand::Rng, mean: f64| {
+                mean as usize + usize::from(random.f64() < mean.fract())
+            };
+            for _ in 0..count(&mut random, terms.sound) {
+                // Few subjects are asked for often, most of them rarely.
+                let subject = 100 + (random.f64().powi(3) * 400.0) as u64;
+                estate.send(&mut random, now, terms, vec![FIRST, subject]);
+            }
+            // The bad part appears when the estate has been in use for some seconds.
+            if now >= 5_000 {
+                for _ in 0..count(&mut random, terms.bad) {
+                    estate.send(&mut random, now, terms, vec![FIRST, BAD]);
+                }
+            }
+            if terms.other_crashes_ms > 0 && random.u64(0..terms.other_crashes_ms / 10) == 0 {
+                let group = random.usize(0..terms.groups);
+                estate.crash(now, group, random.u32(0..terms.ranks));
+            }
+            if terms.restarts_ms > 0 && random.u64(0..terms.restarts_ms / 10) == 0 {
+                let restarted = random.usize(0..terms.entries);
+                estate.entries[restarted] = Ledger::new();
+                estate.running.retain(|run| run.entry != restarted);
+            }
+            estate.advance(now);
+        }
+        estate
+    }
+
+    fn send(&mut self, random: &mut fastrand::Rng, now: u64, terms: Terms, parts: Vec<PartId>) {
+        let entry = random.usize(0..terms.entries);
+        let open: Vec<usize> =
+            (0..terms.groups).filter(|group| self.open_at[*group] <= now).collect();
+        let is_bad = parts.contains(&BAD);
+        if open.is_empty() {
+            return;
+        }
+        let may_try = |part: PartId| {
+            let rank = |entry: usize| mix(entry as u64, part);
+            let ahead = (0..terms.entries).filter(|other| rank(*other) > rank(entry));
+            ahead.count() < TRIAL_ENTRIES
+        };
+        let decision = self.entries[entry].decide(ms(now), &parts, may_try);
+        let suspects = match decision {
+            Decision::Free => Vec::new(),
+            Decision::Trial(suspects) => {
+                self.entries[entry].begin_trial(&suspects);
+                suspects
+            }
+            Decision::Suspect(_) | Decision::Condemned(_) => {
+                self.sound_refused += usize::from(!is_bad);
+                return;
+            }
+        };
+        match is_bad {
+            true => self.bad_sends.push(now),
+            false => self.sound_sent += 1,
+        }
+        let group = open[random.usize(0..open.len())];
+        let upstream = random.u32(0..terms.ranks);
+        self.running.push(Run { entry, group, upstream, started: now, parts, suspects });
+    }
+
+    fn advance(&mut self, now: u64) {
+        let crashing = self
+            .running
+            .iter()
+            .find(|run| run.parts.contains(&BAD) && now >= run.started + CRASH_AFTER_MS);
+        if let Some(Run { group, upstream, .. }) = crashing {
+            let (group, upstream) = (*group, *upstream);
+            self.crashes.push(now);
+            self.crash(now, group, upstream);
+        }
+        for Run { entry, started, parts, suspects, .. } in &self.running {
+            if now == started + LIVED_AFTER_MS || now == started + ENDS_AFTER_MS {
+                self.entries[*entry].record_lived(ms(now), parts);
+                self.entries[*entry].end_trial(suspects);
+            }
+        }
+        self.running.retain(|run| now < run.started + ENDS_AFTER_MS);
+        if now.is_multiple_of(100) {
+            self.entries.iter_mut().for_each(|ledger| drop(ledger.remove_expired(ms(now))));
+        }
+    }
+
+    /// Ends all work of a group. The upstream that crashed accuses what had not lived there.
+    fn crash(&mut self, now: u64, group: usize, upstream: u32) {
+        if self.open_at[group] > now {
+            return;
+        }
+        self.next_crash += 1;
+        let crash = crash(self.next_crash);
+        self.open_at[group] = now + CLOSED_MS;
+        for run in self.running.iter().filter(|run| run.group == group) {
+            let ledger = &mut self.entries[run.entry];
+            if run.upstream == upstream && now < run.started + LIVED_AFTER_MS {
+                let condemned = ledger.record_crash(ms(now), crash, &run.parts, &run.suspects);
+                self.condemned.extend(condemned);
+            }
+            ledger.end_trial(&run.suspects);
+        }
+        self.running.retain(|run| run.group != group);
+    }
+}
+
+/// The bound of the estate's users: at most this many requests with the part may be sent later than
+/// `stabilityWindowMs` after the fifth crash.
+const SENDS_AFTER_FIFTH_CRASH: usize = 3;
+const STABILITY_WINDOW_MS: u64 = 3_000;
+
+#[test]
+fn requests_with_a_crashing_part_stop_within_five_crashes_in_estates_of_all_sizes() {
+    let small = TERMS;
+    let one_group = Terms { groups: 1, ranks: 12, ..small };
+    let plain = Terms { groups: 16, ranks: 1, ..small };
+    let grown = Terms { entries: 40, groups: 1, ranks: 63, sound: 2.5, bad: 0.1, ..small };
+    let large = Terms { entries: 149, ranks: 96, sound: 5.0, bad: 0.2, delay_ms: 300, ..small };
+    for (name, terms, seeds) in [
+        ("small", small, 60),
+        ("one group", one_group, 60),
+        ("plain", plain, 60),
+        ("grown", grown, 10),
+        ("large", large, 2),
+    ] {
+        for seed in 0..seeds {
+            let estate = Estate::play(terms, seed, 30_000);
+            let late = estate.crashes.get(4).map_or(0, |fifth| {
+                let late = estate.bad_sends.iter().filter(|at| **at > fifth + STABILITY_WINDOW_MS);
+                late.count()
+            });
+            assert!(late <= SENDS_AFTER_FIFTH_CRASH, "{name}, seed {seed}: {late} sends too late");
+            assert!(
+                estate.crashes.len() <= 5,
+                "{name}, seed {seed}: crashes at {:?}",
+                estate.crashes
+            );
+            let sound = estate.condemned.iter().find(|part| **part != BAD);
+            assert_eq!(sound, None, "{name}, seed {seed}: a sound part was condemned");
+        }
+    }
+}
+
+#[test]
+fn entries_that_restart_learn_of_a_condemned_part_from_the_others() {
+    for seed in 100..140 {
+        let estate = Estate::play(Terms { restarts_ms: 2_000, ..TERMS }, seed, 40_000);
+        let fifth = estate.crashes.get(4).copied().unwrap_or(u64::MAX - STABILITY_WINDOW_MS);
+        let late = estate.bad_sends.iter().filter(|at| **at > fifth + STABILITY_WINDOW_MS).count();
+        assert!(late <= SENDS_AFTER_FIFTH_CRASH, "seed {seed}: {late} sends too late");
+    }
+}
+
+#[test]
+fn crashes_with_other_causes_condemn_no_part_and_refuse_few_requests() {
+    for seed in 200..260 {
+        let terms = Terms { bad: 0.0, other_crashes_ms: 3_000, ..TERMS };
+        let estate = Estate::play(terms, seed, 60_000);
+        assert_eq!(estate.condemned, [], "seed {seed}");
+        let all = estate.sound_sent + estate.sound_refused;
+        assert!(estate.sound_refused * 20 < all, "seed {seed}: {} of {all}", estate.sound_refused);
+    }
+}
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -5,9 +5,11 @@
 use crate::exchange::{self, Failed, UpstreamResponse};
 use crate::outcome::Outcome;
 use crate::permit::Permit;
-use crate::relay::Relay;
+use crate::relay::{Relay, Source};
 use crate::slot_request::{Refusal, SlotRequest};
-use crate::{Hub, problem_response};
+use crate::target::Target;
+use crate::trial::Trial;
+use crate::{Hub, crash, problem_response};
 use filberttrail_fleet::admission;
 use filberttrail_fleet::route::Kind;
 use filberttrail_journal::journal::Priority;
@@ -81,6 +83,9 @@
 }
 
 async fn serve(hub: &Arc<Hub>, caller_request: Arc<CallerRequest>) -> Response {
+    if let Err(refusal) = Trial::check(hub, &caller_request) {
+        return problem_response::refuse(hub, &caller_request.id, caller_request.arrived, &refusal);
+    }
     let time_left =
         caller_request.deadline.saturating_sub(hub.now()).saturating_sub(RESPONSE_MARGIN);
     let mut attempts = Attempts::default();
@@ -114,10 +119,18 @@
     attempts: &mut Attempts,
 ) -> Response {
     loop {
-        let permit = match acquire(hub, caller_request, attempts).await {
-            Ok(permit) => permit,
+        let started = match acquire(hub, caller_request, attempts).await {
+            // What is known of the prompt may have changed while the request waited.
+            Ok(permit) => Trial::begin(hub, caller_request).map(|trial| (permit, trial)),
+            Err(refusal) => Err(refusal),
+        };
+        let (permit, trial) = match started {
+            Ok(started) => started,
             Err(refusal) => return give_up(hub, caller_request, attempts, refusal),
         };
+        let target = Target::new(&permit);
+        let suspects = trial.suspects().to_vec();
+        let mut blamed = false;
         // A timeout can drop this future while the attempt is under way, so the request counts as
         // possibly run until the outcome of the attempt is known.
         let may_have_run_before = std::mem::replace(&mut attempts.may_have_run, true);
@@ -131,22 +144,29 @@
         .await
         {
             Ok(response) => {
-                match receive_response(hub, caller_request, attempts, permit, response).await {
+                let received =
+                    receive_response(hub, caller_request, attempts, permit, trial, response);
+                match received.await {
                     Ok(response) => return response,
-                    Err((failed, id)) => {
-                        record_failure(hub, caller_request, attempts, &failed, &id);
+                    Err(failed) => {
+                        record_failure(hub, caller_request, attempts, &failed, &target.id);
+                        blamed =
+                            crash::blame_prompt(hub, caller_request, &failed, &target, &suspects)
+                                .await;
                         failed
                     }
                 }
             }
             Err(failed) => {
-                record_failure(hub, caller_request, attempts, &failed, &permit.id);
+                record_failure(hub, caller_request, attempts, &failed, &target.id);
+                drop((permit, trial));
+                crash::wait_for_news(hub, caller_request, &failed).await;
                 failed
             }
         };
         attempts.may_have_run =
             may_have_run_before || matches!(failed, Failed::Unknown(_) | Failed::Silent);
-        if !try_take_retry(hub, caller_request, attempts, &failed) {
+        if blamed || !try_take_retry(hub, caller_request, attempts, &failed) {
             let retry_after = match failed {
                 Failed::NotRun { by_group: true, .. } => {
                     admission::retry_after_outage(fastrand::f64())
@@ -276,29 +296,27 @@
 }
 
 /// Reads the response up to the point at which the response to the caller can start: the first
-/// event of a stream, or otherwise the complete body. A failure is returned with the id of the
-/// upstream.
+/// event of a stream, or otherwise the complete body.
 async fn receive_response(
     hub: &Arc<Hub>,
     caller_request: &Arc<CallerRequest>,
     attempts: &Attempts,
     permit: Permit,
+    trial: Trial,
     response: UpstreamResponse,
-) -> Result<Response, (Failed, String)> {
+) -> Result<Response, Failed> {
     if caller_request.route.kind == Kind::Stream && response.head.status.is_success() {
-        let id = permit.id.clone();
         let head = response_head(hub, &response.head, true);
+        let source = Source::new(permit, trial, response);
         let relay =
-            Relay::start(hub.clone(), caller_request.clone(), attempts.clone(), permit, response)
-                .await;
-        let relay = relay.map_err(|failed| (failed, id))?;
+            Relay::start(hub.clone(), caller_request.clone(), attempts.clone(), source).await?;
         record_response(hub, caller_request, head.status.as_u16(), &relay.upstream());
         return Ok(Response::from_parts(head, Body::Stream(relay.into_chunks())));
     }
     let UpstreamResponse { head, body, connection } = response;
     let body = match hub.memory.read(body).await {
         Ok(body) => body,
-        Err(error) => return Err((Failed::Unknown(error), permit.id.clone())),
+        Err(error) => return Err(Failed::Unknown(error)),
     };
     // `None` means that the upstream closes the connection, and `Some(None)` that it announces no
     // idle timeout.
@@ -312,7 +330,10 @@
         && attempts.failed_sent + 1 < caller_request.route.attempts
     {
         let error = format!("status {}", head.status);
-        return Err((Failed::Unknown(error), permit.id.clone()));
+        return Err(Failed::Unknown(error));
+    }
+    if !failed {
+        hub.blame.record_lived(&caller_request.part_ids);
     }
     hub.record_outcome(&permit.id, if failed { Outcome::Failure } else { Outcome::Success });
     hub.metrics.record_attempt("answered");
--- a/crates/filberttrail-gateway/src/caller_request.rs
+++ b/crates/filberttrail-gateway/src/caller_request.rs
@@ -1,9 +1,11 @@
 //! Reads and validates the requests of callers.
 
 use crate::Hub;
+use crate::blame::part_id;
 use crate::open_request::OpenRequest;
 use bytes::Bytes;
 use filberttrail_fleet::Route;
+use filberttrail_fleet::blame::PartId;
 use filberttrail_fleet::event::SequenceNumber;
 use filberttrail_web::server::read_body;
 use filberttrail_web::{Problem, Request};
@@ -59,6 +61,8 @@
     pub after_event: Option<SequenceNumber>,
     /// Ids of the parts of its prompt that other requests may share, in order.
     pub shared_parts: Vec<String>,
+    /// Their ids among the parts of the service's prompts.
+    pub part_ids: Vec<PartId>,
     /// Logs the request as cut off if it is dropped before its end.
     pub open_request: OpenRequest,
 }
@@ -116,6 +120,7 @@
         let after_event = text(&names.after_event).and_then(|last| last.trim().parse().ok());
         let shared_parts = parts.headers.get(&names.prompt);
         let shared_parts = shared_parts.map(hub.interface.read_shared_parts).unwrap_or_default();
+        let part_ids = shared_parts.iter().map(|part| part_id(&service, part)).collect();
         let team = team.map(|team| team.name.clone());
         let limit = table.configuration().body_bytes;
         drop(table);
@@ -140,6 +145,7 @@
             arrived,
             deadline: arrived + timeout,
             shared_parts,
+            part_ids,
             after_event,
             route,
         })
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -1,5 +1,6 @@
 //! The state that all tasks of a gateway share: candidates, queues and budgets.
 
+use crate::blame::Blame;
 use crate::connection::Pool;
 use crate::id_hash::{IdHash, hash_id};
 use crate::memory::Memory;
@@ -12,8 +13,9 @@
 use crate::state::{DEPARTED_RETENTION, RESTORE_GRACE, State, is_partitioned};
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
+use filberttrail_fleet::blame::{PartId, TRIAL_ENTRIES};
 use filberttrail_fleet::snapshot::{Progress, Revision, Snapshot};
-use filberttrail_fleet::subset::Share;
+use filberttrail_fleet::subset::{self, Share};
 use filberttrail_fleet::upstream::{self, Upstream};
 use filberttrail_fleet::{Budget, Candidate, Loads, Table, balance};
 use filberttrail_journal::Journal;
@@ -62,6 +64,8 @@
     pub pool: Pool,
     /// Memory for large response bodies.
     pub memory: Memory,
+    /// Prompt parts that are blamed for crashes.
+    pub blame: Blame,
     /// Notified after changes that may have made slots available to waiting requests.
     pub dispatch_requested: Notify,
     state: Mutex<State>,
@@ -81,6 +85,7 @@
         metrics: Metrics,
     ) -> Arc<Self> {
         let pool = Pool::new(clock.clone());
+        let blame = Blame::new(clock.clone(), journal.clone());
         let mut state = State::default();
         state.freshness.tick(clock.now());
         let state = Mutex::new(state);
@@ -95,6 +100,7 @@
             metrics,
             pool,
             memory: Memory::new(),
+            blame,
             dispatch_requested,
             state,
             draining,
@@ -404,6 +410,7 @@
             self.journal.record(Priority::Important, "cut_off", json!({ "cut_off": partitioned }));
         }
         self.pool.remove_expired();
+        self.blame.remove_expired();
         self.request_dispatch();
     }
 
@@ -442,6 +449,7 @@
             self.metrics.set_store_age(kind, now.saturating_sub(*at));
         }
         drop(state);
+        self.metrics.set_condemned_parts(self.blame.count_condemned());
         self.metrics.render()
     }
 
@@ -528,6 +536,12 @@
         self.update_subsets(&mut state);
     }
 
+    /// Returns whether this entry is one of those that may try a suspect.
+    pub fn may_try(&self, part: PartId) -> bool {
+        let entry = stable_hash(self.settings.name.as_bytes());
+        subset::is_member(entry, &self.lock().entry_hashes, part, TRIAL_ENTRIES)
+    }
+
     fn update_subsets(&self, state: &mut State) {
         let entries = state.entries.unwrap_or(ASSUMED_ENTRIES);
         let entry = stable_hash(self.settings.name.as_bytes());
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -1,9 +1,11 @@
 //! The gateway: an entry that forwards requests directly to upstreams over HTTP, without sidecars.
 
 pub mod allowance;
+pub mod blame;
 pub mod call;
 pub mod caller_request;
 pub mod connection;
+pub mod crash;
 pub mod daemon;
 pub mod exchange;
 pub mod follow;
@@ -25,6 +27,8 @@
 pub mod signals;
 pub mod slot_request;
 pub(crate) mod state;
+pub mod target;
+pub mod trial;
 
 pub use daemon::Gateway;
 pub use headers::Headers;
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between entries, in one datagram each.
 
 use crate::id_hash::IdHash;
+use filberttrail_fleet::blame::Report;
 use filberttrail_fleet::snapshot::Progress;
 use filberttrail_fleet::upstream;
 use serde::{Deserialize, Serialize};
@@ -51,4 +52,7 @@
     pub changed: Progress,
     /// Upstreams that have said that they are about to stop, with their incarnations.
     pub leaving: Vec<(IdHash, upstream::Incarnation)>,
+    /// Prompt parts that are blamed for crashes.
+    #[serde(default)]
+    pub blame: Report,
 }
--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     relay: Histogram,
     generation: IntGauge,
     store_age: GaugeVec,
+    condemned_parts: IntGauge,
 }
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -40,6 +41,10 @@
             wait: histogram("filberttrail_wait_seconds", "Time that a request waited for a slot")?,
             relay: histogram("filberttrail_relay_seconds", "Time to pass a streamed event on")?,
             generation: IntGauge::new("filberttrail_generation", "Active configuration")?,
+            condemned_parts: IntGauge::new(
+                "filberttrail_condemned_prompt_parts",
+                "Prompt parts whose requests are refused because they crash upstreams",
+            )?,
             store_age: GaugeVec::new(
                 Opts::new("filberttrail_store_age_seconds", "Time since the store last responded"),
                 &["kind"],
@@ -53,9 +58,15 @@
         metrics.registry.register(Box::new(metrics.relay.clone()))?;
         metrics.registry.register(Box::new(metrics.generation.clone()))?;
         metrics.registry.register(Box::new(metrics.store_age.clone()))?;
+        metrics.registry.register(Box::new(metrics.condemned_parts.clone()))?;
         Ok(metrics)
     }
 
+    /// Sets the number of condemned prompt parts.
+    pub fn set_condemned_parts(&self, parts: usize) {
+        self.condemned_parts.set(parts as i64);
+    }
+
     /// Sets the generation of the active configuration; 0 while there is none.
     pub fn set_generation(&self, generation: u64) {
         self.generation.set(generation as i64);
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -188,7 +188,10 @@
             let direct = Overlay::is_direct(entries as usize);
             let period = ADVERTISE_PERIOD * entries.max(ADVERTISE_ENTRIES) / ADVERTISE_ENTRIES;
             let period = if direct { period } else { RELAY_PERIOD };
-            tokio::time::sleep(period.min(ADVERTISE_PERIOD_LIMIT)).await;
+            let urgent = tokio::select! {
+                () = tokio::time::sleep(period.min(ADVERTISE_PERIOD_LIMIT)) => false,
+                () = hub.blame.changed.notified() => true,
+            };
             if hub.record_tick() {
                 self.wakes.notify_all();
             }
@@ -204,7 +207,7 @@
             }
             let loads = hub.own_loads();
             let changed = hub.latest_changes();
-            let due = round.is_multiple_of(IDLE_ROUNDS);
+            let due = urgent || round.is_multiple_of(IDLE_ROUNDS);
             if loads.is_empty() && idle && changed == advertised && !due {
                 continue;
             }
@@ -282,8 +285,9 @@
 
     fn receive(&self, hub: &Hub, message: Message, socket: &UdpSocket, from: SocketAddr) {
         let now = hub.now();
-        let Message { kind, entry, data_centre, loads, leaving, .. } = message;
+        let Message { kind, entry, data_centre, loads, leaving, blame, .. } = message;
         hub.receive_leaving(&leaving);
+        hub.blame.receive(&blame);
         hub.record_heard(&data_centre, Duration::ZERO);
         match kind {
             Kind::Load => hub.receive_load(&entry, loads),
@@ -500,6 +504,7 @@
         loads,
         changed: hub.latest_changes(),
         leaving: hub.leaving_upstreams(),
+        blame: hub.blame.report(),
     }
 }
 
--- a/crates/filberttrail-gateway/src/problem_response.rs
+++ b/crates/filberttrail-gateway/src/problem_response.rs
@@ -13,7 +13,7 @@
 pub fn refuse(hub: &Hub, request_id: &str, arrived: Duration, refusal: &Refusal) -> Response {
     let detail =
         format!("{}; come back in {:.1} s", refusal.cause, refusal.retry_after.as_secs_f64());
-    let problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no room", detail);
+    let problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, refusal.title(), detail);
     let mut response = respond(hub, request_id, arrived, problem);
     let retry_after = format!("{:.2}", refusal.retry_after.as_secs_f64());
     if let Ok(retry_after) = HeaderValue::from_str(&retry_after) {
--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -1,19 +1,24 @@
 //! Forwards a stream event by event, and resumes it at another upstream if it breaks off.
 
-use crate::Hub;
 use crate::call::{self, Attempts};
 use crate::caller_request::CallerRequest;
 use crate::connection::Connection;
 use crate::exchange::{self, Failed, UpstreamResponse};
 use crate::outcome::Outcome;
+use crate::{Hub, crash};
+
 use crate::permit::Permit;
+use crate::slot_request::Refusal;
+use crate::target::Target;
+use crate::trial::Trial;
 use bytes::Bytes;
-use filberttrail_fleet::Splitter;
+use filberttrail_fleet::{Splitter, blame};
 use filberttrail_journal::journal::Priority;
 use filberttrail_web::body::{ChunkStream, Truncated};
 use futures::stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,13 +30,24 @@
 const RESUME_MINIMUM: Duration = Duration::from_millis(300);
 
 /// The upstream response that the events are read from.
-struct Source {
+pub struct Source {
     permit: Permit,
+    /// The trial of parts of the prompt, until the answer has lived.
+    trial: Option<Trial>,
     body: Incoming,
     connection: Connection,
     /// `None` if the upstream closes the connection after the response, and `Some(None)` if it
     /// announces no idle timeout.
     idle_timeout: Option<Option<Duration>>,
+    /// Whether the response has a length or chunks. The end of one without is the end of its
+    /// connection.
+    framed: bool,
+    /// Number of reads that completed at least one event.
+    arrivals: u32,
+    /// Time of the first of them.
+    first_arrival: Duration,
+    /// Whether the answer has lived, which shows that its prompt crashes no upstream.
+    lived: bool,
 }
 
 /// A stream that is forwarded to a caller.
@@ -41,8 +57,8 @@
     attempts: Attempts,
     splitter: Splitter,
     source: Option<Source>,
-    /// Id of the upstream that the last source belongs to.
-    source_id: String,
+    /// The upstream that the last source belongs to.
+    target: Target,
     /// Events that were read before the response to the caller started.
     first_events: Option<Bytes>,
     started_at: Duration,
@@ -58,20 +74,19 @@
         hub: Arc<Hub>,
         caller_request: Arc<CallerRequest>,
         attempts: Attempts,
-        permit: Permit,
-        response: UpstreamResponse,
+        source: Source,
     ) -> Result<Self, Failed> {
         let splitter = Splitter::new(caller_request.after_event);
         let started_at = hub.now();
-        let source_id = permit.id.clone();
-        let source = Some(Source::new(permit, response));
+        let target = Target::new(&source.permit);
+        let source = Some(source);
         let mut relay = Self {
             hub,
             caller_request,
             attempts,
             splitter,
             source,
-            source_id,
+            target,
             first_events: None,
             started_at,
             last_event_at: started_at,
@@ -86,7 +101,7 @@
             match relay.read_events(timeout).await {
                 Err(Failed::Silent)
                     if relay.hub.now() < relay.caller_request.deadline
-                        && relay.hub.is_group_stalled(&relay.source_id, timeout) => {}
+                        && relay.hub.is_group_stalled(&relay.target.id, timeout) => {}
                 first => break first?,
             }
         };
@@ -132,10 +147,21 @@
                 }
                 Err(failed) => failed,
             };
+            if self.blame_prompt(&failed).await {
+                call::record_failure(
+                    &self.hub,
+                    &self.caller_request,
+                    &mut self.attempts,
+                    &failed,
+                    &self.target.id,
+                );
+                self.give_up(&failed);
+                return Some(Err(Truncated));
+            }
             // A stream that is only slow goes on if it cannot continue elsewhere.
             let stalled = self.source.take().filter(|_| failed == Failed::Silent);
             let stalled = stalled.filter(|_| self.hub.now() < self.caller_request.deadline);
-            let id = self.source_id.clone();
+            let id = self.target.id.clone();
             let group_stalled = stalled.is_some() && self.hub.is_group_stalled(&id, EVENT_TIMEOUT);
             if !group_stalled && self.resume(failed.clone(), id, stalled.is_some()).await {
                 continue;
@@ -164,6 +190,10 @@
                 Ok(None) if self.splitter.is_within_event() => {
                     return Err(Failed::Unknown("it ended inside an event".to_string()));
                 }
+                Ok(None) if !source.framed && source.arrivals == 0 => {
+                    // The end of the connection is all that tells the end of such an answer.
+                    return Err(Failed::Unknown("it ended before its first event".to_string()));
+                }
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(error))) => return Err(Failed::Unknown(error.to_string())),
                 Ok(Some(Ok(frame))) => frame,
@@ -175,7 +205,13 @@
             if let Some(events) = events {
                 self.batches += 1;
                 self.last_event_at = received_at;
-                self.hub.record_event(&self.source_id);
+                source.record_arrival(received_at);
+                if !source.lived && source.has_lived(received_at) {
+                    source.lived = true;
+                    source.trial = None;
+                    self.hub.blame.record_lived(&self.caller_request.part_ids);
+                }
+                self.hub.record_event(&self.target.id);
                 self.hub.metrics.record_relay(self.hub.now().saturating_sub(received_at));
                 return Ok(Some(events.bytes));
             }
@@ -192,12 +228,29 @@
             let event_interval = (self.last_event_at - self.started_at) / (self.batches - 1).max(1);
             self.hub.record_event_interval(&source.permit.id, event_interval);
         }
+        if source.lived || (source.framed && source.arrivals > 0) {
+            self.hub.blame.record_lived(&self.caller_request.part_ids);
+        }
         let Source { permit, connection, idle_timeout, .. } = source;
         if let Some(idle_timeout) = idle_timeout {
             self.hub.pool.put_back(permit.address, connection, idle_timeout);
         }
     }
 
+    /// Blames the prompt if the upstream crashed before the answer had lived.
+    async fn blame_prompt(&mut self, failed: &Failed) -> bool {
+        let Some(source) = self.source.take_if(|source| !source.lived) else { return false };
+        let trial = source.trial.as_ref();
+        let suspects = trial.map(|trial| trial.suspects().to_vec()).unwrap_or_default();
+        let blamed =
+            crash::blame_prompt(&self.hub, &self.caller_request, failed, &self.target, &suspects);
+        let blamed = blamed.await;
+        if !blamed {
+            self.source = Some(source);
+        }
+        blamed
+    }
+
     /// Resumes the stream at another upstream after the last event that was forwarded. Returns
     /// whether that succeeded. `slow` tells whether the stream can also go on where it is.
     async fn resume(&mut self, failed: Failed, upstream: String, slow: bool) -> bool {
@@ -217,21 +270,25 @@
             {
                 Ok(permit) => permit,
                 Err(refusal) => {
-                    let fields = json!({
-                        "request": self.caller_request.id, "cause": refusal.cause,
-                        "goes_on": slow,
-                    });
-                    self.hub.journal.record(Priority::Important, "not_resumed", fields);
+                    self.record_not_resumed(&refusal, slow);
                     return false;
                 }
             };
+            let trial = match Trial::begin(&self.hub, &self.caller_request) {
+                Ok(trial) => trial,
+                Err(refusal) => {
+                    self.record_not_resumed(&refusal, slow);
+                    return false;
+                }
+            };
+            let target = Target::new(&permit);
             id.clone_from(&permit.id);
             let timeout = call::FIRST_EVENT_TIMEOUT;
             match exchange::send(&self.hub, &permit, &self.caller_request, last, timeout).await {
                 Ok(response) if response.head.status.is_success() => {
                     self.splitter = Splitter::new(last);
-                    self.source = Some(Source::new(permit, response));
-                    self.source_id.clone_from(&id);
+                    self.source = Some(Source::new(permit, trial, response));
+                    self.target = target;
                     let fields = json!({
                         "request": self.caller_request.id, "upstream": id, "after_event": last,
                     });
@@ -246,6 +303,14 @@
         }
     }
 
+    /// Logs that a stream was not resumed, and whether it goes on where it is.
+    fn record_not_resumed(&self, refusal: &Refusal, slow: bool) {
+        let fields = json!({
+            "request": self.caller_request.id, "cause": refusal.cause, "goes_on": slow,
+        });
+        self.hub.journal.record(Priority::Important, "not_resumed", fields);
+    }
+
     fn give_up(&self, failed: &Failed) {
         self.caller_request.open_request.mark_ended();
         self.hub
@@ -254,15 +319,39 @@
         let fields = json!({
             "request": self.caller_request.id, "fault": format!("{failed:?}"),
             "sent": self.attempts.failed_sent, "after_event": self.splitter.last(),
-            "upstream": self.source_id, "parts": self.caller_request.shared_parts,
+            "upstream": self.target.id, "parts": self.caller_request.shared_parts,
         });
         self.hub.journal.record(Priority::Important, "broken_off", fields);
     }
 }
 
 impl Source {
-    fn new(permit: Permit, response: UpstreamResponse) -> Self {
-        let idle_timeout = exchange::parse_idle_timeout(&response.head.headers);
-        Self { permit, body: response.body, connection: response.connection, idle_timeout }
+    /// Wraps the response of the upstream of a permit.
+    pub fn new(permit: Permit, trial: Trial, response: UpstreamResponse) -> Self {
+        let headers = &response.head.headers;
+        let framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        Self {
+            permit,
+            trial: Some(trial),
+            idle_timeout: exchange::parse_idle_timeout(headers),
+            body: response.body,
+            connection: response.connection,
+            framed,
+            arrivals: 0,
+            first_arrival: Duration::ZERO,
+            lived: false,
+        }
+    }
+
+    fn record_arrival(&mut self, at: Duration) {
+        if self.arrivals == 0 {
+            self.first_arrival = at;
+        }
+        self.arrivals += 1;
+    }
+
+    fn has_lived(&self, now: Duration) -> bool {
+        blame::has_lived(self.arrivals, now.saturating_sub(self.first_arrival))
     }
 }
--- a/crates/filberttrail-gateway/src/slot_request.rs
+++ b/crates/filberttrail-gateway/src/slot_request.rs
@@ -20,3 +20,18 @@
     /// Time after which the caller should retry.
     pub retry_after: Duration,
 }
+
+impl Refusal {
+    /// Cause of the refusal of a request with a prompt part that crashes upstreams.
+    pub const HARMFUL_PROMPT: &str = "a part of the prompt crashes upstreams";
+    /// Cause of the refusal of a request with a prompt part that may crash upstreams.
+    pub const SUSPECT_PROMPT: &str = "a part of the prompt may crash upstreams";
+
+    /// Returns the title of the response.
+    pub fn title(&self) -> &'static str {
+        match self.cause {
+            Self::HARMFUL_PROMPT | Self::SUSPECT_PROMPT => "harmful prompt",
+            _ => "no room",
+        }
+    }
+}
