Store condemned prompt parts for gateways that start when no other one runs

The verdicts lived in the memory of the gateways only.

Change: an entry that reaches a verdict writes an object filberttrail-condemned/PART. A gateway lists that kind once before it serves, unless an entry that has done so reports to it first; no watch, one call a start. The object is removed when the part is forgotten. Objects with other names are logged and skipped.

Weighed: a watch of the kind (another call each 25 s and a check each second a gateway, for what the messages between entries tell within 0.1 s); nothing stored (the case above).

a_gateway_that_starts_alone_knows_a_condemned_part waited for the object without end before (stopped after 100 s) and passes now. a_connection_that_a_live_upstream_resets_accuses_no_part: passed with the code before too.

--- a/crates/filberttrail-gateway/src/blame.rs
+++ b/crates/filberttrail-gateway/src/blame.rs
@@ -2,6 +2,7 @@
 
 use crate::id_hash::hash_id;
 use crate::target::Target;
+use crate::verdicts::Change;
 use filberttrail_fleet::blame::{Crash, Decision, Ledger, PartId, Report};
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
@@ -11,6 +12,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
+/// Maximum number of verdicts that wait to be stored.
+const UNSTORED_LIMIT: usize = 1_024;
+
 /// Returns the id of a part of the prompts of a service.
 pub fn part_id(service: &str, part: &str) -> PartId {
     stable_hash(format!("{service}/{part}").as_bytes())
@@ -28,12 +32,23 @@
     ledger: Mutex<Ledger>,
     /// Notified when the other entries should hear of a change immediately.
     pub changed: Notify,
+    /// Verdicts that are not stored yet, oldest first.
+    unstored: Mutex<Vec<Change>>,
+    /// Notified when there are verdicts to store.
+    pub stored_changes: Notify,
 }
 
 impl Blame {
     /// Creates an empty ledger.
     pub fn new(clock: clock::Shared, journal: Journal) -> Self {
-        Self { clock, journal, ledger: Mutex::default(), changed: Notify::new() }
+        Self {
+            clock,
+            journal,
+            ledger: Mutex::default(),
+            changed: Notify::new(),
+            unstored: Mutex::default(),
+            stored_changes: Notify::new(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Ledger> {
@@ -96,7 +111,7 @@
             "on_trial": texts(suspects),
         });
         self.journal.record(Priority::Important, "prompt_parts_accused", fields);
-        self.record("prompt_parts_condemned", &condemned);
+        self.record_condemned(&condemned);
         self.changed.notify_one();
     }
 
@@ -111,7 +126,7 @@
             return;
         }
         let condemned = self.lock().receive(self.clock.now(), report);
-        self.record("prompt_parts_condemned", &condemned);
+        self.record_condemned(&condemned);
     }
 
     /// Returns the number of condemned parts.
@@ -123,6 +138,38 @@
     pub fn remove_expired(&self) {
         let lapsed = self.lock().remove_expired(self.clock.now());
         self.record("prompt_parts_forgotten", &lapsed);
+        self.store(lapsed.into_iter().map(Change::Forgotten));
+    }
+
+    /// Condemns the parts that the store holds.
+    pub fn restore(&self, parts: &[PartId]) {
+        let now = self.clock.now();
+        let mut ledger = self.lock();
+        let new: Vec<PartId> =
+            parts.iter().copied().filter(|part| ledger.condemn(now, *part)).collect();
+        drop(ledger);
+        self.record("prompt_parts_condemned", &new);
+    }
+
+    /// Removes and returns the verdicts that are not stored yet.
+    pub fn take_changes(&self) -> Vec<Change> {
+        std::mem::take(&mut *self.unstored.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn record_condemned(&self, parts: &[PartId]) {
+        self.record("prompt_parts_condemned", parts);
+        self.store(parts.iter().copied().map(Change::Condemned));
+    }
+
+    fn store(&self, changes: impl Iterator<Item = Change>) {
+        let mut unstored = self.unstored.lock().unwrap_or_else(PoisonError::into_inner);
+        unstored.extend(changes);
+        // Verdicts that cannot be stored are not kept without bound; running entries know them.
+        let excess = unstored.len().saturating_sub(UNSTORED_LIMIT);
+        unstored.drain(..excess);
+        if !unstored.is_empty() {
+            self.stored_changes.notify_one();
+        }
     }
 
     fn record(&self, event: &str, parts: &[PartId]) {
--- a/crates/filberttrail-gateway/src/daemon.rs
+++ b/crates/filberttrail-gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::{Hub, Interface, Settings, call, follow};
+use crate::{Hub, Interface, Settings, call, follow, verdicts};
 use filberttrail_journal::journal::Priority;
 use filberttrail_journal::{Journal, reload};
 use filberttrail_kernel::{Error, Result, clock};
@@ -161,6 +161,7 @@
     tokio::spawn(follow::run_configuration(hub.clone(), objects.clone(), configuration, active()));
     tokio::spawn(follow::run_outs(hub.clone(), objects.clone(), outs, active()));
     tokio::spawn(follow::run_slowdowns(hub.clone(), objects.clone(), slowdowns, active()));
+    tokio::spawn(verdicts::run(hub.clone(), objects.clone()));
     tokio::spawn(hub.clone().run_dispatch());
     tokio::spawn(peers.clone().run_follow(hub.clone(), objects));
     tokio::spawn(peers.clone().run_advertise(hub.clone(), socket.clone()));
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -142,8 +142,7 @@
     /// Returns whether the gateway can serve callers.
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
-        let has_state = state.table.is_some() && state.upstreams_known && state.outs_known;
-        has_state && !self.is_draining() && !state.partitioned
+        state.is_known() && !self.is_draining() && !state.partitioned
     }
 
     /// Returns whether connections are closed after responses, so that callers connect to another
@@ -188,14 +187,11 @@
         }
     }
 
-    /// Returns the active configuration. Returns nothing until the upstreams and the data centres
-    /// out of service are known too.
+    /// Returns the active configuration. Returns nothing until the upstreams, the data centres out
+    /// of service and the condemned prompt parts are known too.
     pub fn table(&self) -> Option<Arc<Table>> {
         let state = self.lock();
-        if !state.upstreams_known || !state.outs_known {
-            return None;
-        }
-        state.table.clone()
+        state.table.clone().filter(|_| state.is_known())
     }
 
     /// Activates a configuration, unless the active one has the same or a later generation.
@@ -536,6 +532,16 @@
         self.update_subsets(&mut state);
     }
 
+    /// Records that the condemned prompt parts are known.
+    pub fn note_verdicts_known(&self) {
+        self.lock().verdicts_known = true;
+    }
+
+    /// Returns whether the condemned prompt parts are known.
+    pub fn knows_verdicts(&self) -> bool {
+        self.lock().verdicts_known
+    }
+
     /// Returns whether this entry is one of those that may try a suspect.
     pub fn may_try(&self, part: PartId) -> bool {
         let entry = stable_hash(self.settings.name.as_bytes());
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub(crate) mod state;
 pub mod target;
 pub mod trial;
+pub mod verdicts;
 
 pub use daemon::Gateway;
 pub use headers::Headers;
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -55,4 +55,7 @@
     /// Prompt parts that are blamed for crashes.
     #[serde(default)]
     pub blame: Report,
+    /// Whether the entry knows all condemned parts, which may be more than a report contains.
+    #[serde(default)]
+    pub verdicts_known: bool,
 }
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -285,9 +285,13 @@
 
     fn receive(&self, hub: &Hub, message: Message, socket: &UdpSocket, from: SocketAddr) {
         let now = hub.now();
-        let Message { kind, entry, data_centre, loads, leaving, blame, .. } = message;
+        let Message { kind, entry, data_centre, loads, leaving, blame, verdicts_known, .. } =
+            message;
         hub.receive_leaving(&leaving);
         hub.blame.receive(&blame);
+        if verdicts_known {
+            hub.note_verdicts_known();
+        }
         hub.record_heard(&data_centre, Duration::ZERO);
         match kind {
             Kind::Load => hub.receive_load(&entry, loads),
@@ -505,6 +509,7 @@
         changed: hub.latest_changes(),
         leaving: hub.leaving_upstreams(),
         blame: hub.blame.report(),
+        verdicts_known: hub.knows_verdicts(),
     }
 }
 
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -32,6 +32,8 @@
     pub upstreams_known: bool,
     /// Whether the data centres out of service were read at least once.
     pub outs_known: bool,
+    /// Whether the condemned prompt parts were read, or another entry has reported its own.
+    pub verdicts_known: bool,
     pub candidates: BTreeMap<upstream::Id, Candidate>,
     /// Data centres out of service.
     pub outs: Vec<String>,
@@ -77,6 +79,11 @@
 }
 
 impl State {
+    /// Returns whether everything is known that has to be before requests are served.
+    pub(crate) fn is_known(&self) -> bool {
+        self.table.is_some() && self.upstreams_known && self.outs_known && self.verdicts_known
+    }
+
     /// Adds a candidate with the load that other entries have reported for it.
     pub(crate) fn insert_candidate(&mut self, candidate: Candidate) {
         let id = candidate.upstream.id.clone();
