Limit the time for which a single crash makes a prompt part a suspect

After a crash with another cause, the rare parts of the requests that were cut off stayed suspects for 600 s, unless an answer with them lived at one of the two entries that may try them: their requests were refused at all others.

Now a single crash makes a part a suspect for 15 s. It still counts if another follows, and a part with more than one point stays a suspect. The new test fails before (Suspect after 16 s).

--- a/crates/filberttrail-fleet/src/blame.rs
+++ b/crates/filberttrail-fleet/src/blame.rs
@@ -42,6 +42,9 @@
 const TRUST: Duration = Duration::from_secs(10);
 /// Time for which it is remembered that an answer has lived.
 const LIFE_MEMORY: Duration = Duration::from_secs(60);
+/// Time for which a part is a suspect because of a single crash. It is longer than a group takes to
+/// open after a crash; a later crash counts as well.
+const SINGLE_SUSPICION_LIFETIME: Duration = Duration::from_secs(15);
 /// Time after which an accusation lapses.
 const ACCUSATION_LIFETIME: Duration = Duration::from_secs(600);
 /// Time without a request after which a condemned part is forgotten.
@@ -164,7 +167,10 @@
     }
 
     fn is_suspect(&self, now: Duration, part: PartId) -> bool {
-        self.accused.contains_key(&part) && !self.is_trusted(now, part)
+        let Some(accusations) = self.accused.get(&part) else { return false };
+        let recent =
+            accusations.last().is_some_and(|last| now < last.at + SINGLE_SUSPICION_LIFETIME);
+        (recent || score(accusations) > 1) && !self.is_trusted(now, part)
     }
 
     /// Returns whether an answer with this part has lived recently.
--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -83,6 +83,17 @@
     assert_eq!(ledger.decide(ms(1), &[BAD], |_| false), Decision::Suspect(BAD));
 }
 
+#[test]
+fn crashes_that_are_far_apart_condemn_a_part_too() {
+    let mut ledger = Ledger::new();
+    ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
+    assert_eq!(ledger.decide(ms(14_000), &[BAD], |_| false), Decision::Suspect(BAD));
+    assert_eq!(ledger.decide(ms(16_000), &[BAD], |_| false), Decision::Free);
+    ledger.record_crash(ms(60_000), crash(2), &[BAD], &[]);
+    assert_eq!(decide(&mut ledger, ms(200_000), &[BAD]), Decision::Trial(vec![BAD]));
+    assert_eq!(ledger.record_crash(ms(200_050), crash(3), &[BAD], &[BAD]), [BAD]);
+}
+
 #[test]
 fn a_condemned_part_is_forgotten_after_a_time_without_requests() {
     let mut ledger = Ledger::new();
