Report blamed prompt parts while they are news, and remind of older ones in turn

Each message between entries had up to 24 accused parts with their crashes, for as long as they were accused: 2 to 4 kB each 0.1 s to every other entry, for minutes after a crash. Among 40 entries these are some 30 MB/s (worked out, not measured), more than the links carry.

Now an accusation is in the reports of the entry that made it for 1 s, and of relays that pass it on; four older parts a second remind entries that have started since.

--- a/crates/filberttrail-fleet/src/blame.rs
+++ b/crates/filberttrail-fleet/src/blame.rs
@@ -49,19 +49,24 @@
 const ACCUSATION_LIFETIME: Duration = Duration::from_secs(600);
 /// Time without a request after which a condemned part is forgotten.
 pub const CONDEMNED_LIFETIME: Duration = Duration::from_secs(600);
-/// Time for which news is repeated in each report; older entries take turns.
-const NEWS_LIFETIME: Duration = Duration::from_secs(3);
+/// Time for which news is repeated in each report.
+const NEWS_LIFETIME: Duration = Duration::from_millis(1_000);
+/// Interval at which a report also contains parts that are no news, in turn. They are for entries
+/// that have started since.
+const REMINDER_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Number of parts in a reminder.
+const REMINDER_PARTS: usize = 4;
 /// Maximum number of parts in a report, of each sort.
 const REPORT_LIMIT: usize = 24;
-/// Maximum number of accusations in a report.
-const ROWS_LIMIT: usize = 64;
+/// Maximum number of accusations of one part.
+const ACCUSATIONS_LIMIT: usize = 16;
 /// Maximum number of accused parts, and of condemned ones.
 const PARTS_LIMIT: usize = 1_024;
 /// Maximum number of parts of which it is remembered that an answer has lived.
 const LIVED_LIMIT: usize = 16_384;
 
 /// The crash of one incarnation of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Crash {
     /// Hash of the upstream's id.
     pub upstream: IdHash,
@@ -76,6 +81,15 @@
     in_trial: bool,
 }
 
+/// The accusations of a part.
+#[derive(Debug, Default)]
+struct Record {
+    /// In the order of their times.
+    accusations: Vec<Accusation>,
+    /// Time until which each report contains them.
+    news_until: Duration,
+}
+
 /// Whether a request may be sent to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
@@ -93,8 +107,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Report {
-    /// Accused parts, with the crash, its age, and whether it ended a trial.
-    pub accused: Vec<(PartId, Crash, u64, bool)>,
+    /// Accused parts, with the upstream that crashed, its incarnation, the age of the crash, and
+    /// whether it ended a trial.
+    pub accused: Vec<(PartId, IdHash, Incarnation, u64, bool)>,
     /// Parts that were accused before an answer with them lived, and the age of that.
     pub cleared: Vec<(PartId, u64)>,
     /// Condemned parts, and the age of the last request with them.
@@ -104,7 +119,7 @@
 /// What one entry knows of the parts of prompts.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    accused: BTreeMap<PartId, Vec<Accusation>>,
+    accused: BTreeMap<PartId, Record>,
     /// Time at which an answer with the part last lived.
     lived: HashMap<PartId, Duration>,
     /// Accused parts that were cleared, with the time at which their answer lived, and the time
@@ -113,8 +128,9 @@
     /// Condemned parts, and the time of the last request with them.
     condemned: BTreeMap<PartId, Duration>,
     in_trial: HashSet<PartId>,
-    /// The part after which the next report continues with older accusations.
-    reported_until: PartId,
+    /// The last part of the last reminder, and the time of the next one.
+    reminded_until: PartId,
+    reminder_at: Duration,
 }
 
 /// Returns whether an answer has lived, by how many times events have arrived and the time since the
@@ -167,7 +183,7 @@
     }
 
     fn is_suspect(&self, now: Duration, part: PartId) -> bool {
-        let Some(accusations) = self.accused.get(&part) else { return false };
+        let Some(Record { accusations, .. }) = self.accused.get(&part) else { return false };
         let recent =
             accusations.last().is_some_and(|last| now < last.at + SINGLE_SUSPICION_LIFETIME);
         (recent || score(accusations) > 1) && !self.is_trusted(now, part)
@@ -203,13 +219,14 @@
     ) -> Vec<PartId> {
         let accuse = |part: &PartId| {
             let accusation = Accusation { crash, at: now, in_trial: suspects.contains(part) };
-            self.accuse(now, *part, accusation).then_some(*part)
+            self.accuse(now, *part, accusation, true).then_some(*part)
         };
         parts.iter().filter_map(accuse).collect()
     }
 
-    /// Returns whether the part is condemned by this accusation.
-    fn accuse(&mut self, now: Duration, part: PartId, accusation: Accusation) -> bool {
+    /// Records an accusation, which is reported to others if it is news to them. Returns whether the
+    /// part is condemned by it.
+    fn accuse(&mut self, now: Duration, part: PartId, accusation: Accusation, news: bool) -> bool {
         if self.condemned.contains_key(&part) {
             return false;
         }
@@ -221,15 +238,26 @@
         if !self.accused.contains_key(&part) && self.accused.len() >= PARTS_LIMIT {
             self.remove_oldest();
         }
-        let accusations = self.accused.entry(part).or_default();
-        match accusations.iter_mut().find(|known| known.crash == accusation.crash) {
-            Some(known) => known.in_trial |= accusation.in_trial,
-            None => accusations.push(accusation),
+        let record = self.accused.entry(part).or_default();
+        let known = record.accusations.iter().position(|known| known.crash == accusation.crash);
+        let changed = match known {
+            Some(index) => {
+                let known = &mut record.accusations[index].in_trial;
+                !std::mem::replace(known, *known || accusation.in_trial) && accusation.in_trial
+            }
+            None if record.accusations.len() >= ACCUSATIONS_LIMIT => false,
+            None => {
+                record.accusations.push(accusation);
+                record.accusations.sort_by_key(|accusation| accusation.at);
+                true
+            }
+        };
+        if changed && news {
+            record.news_until = now + NEWS_LIFETIME;
         }
-        accusations.sort_by_key(|accusation| accusation.at);
         let survived = self.lived.get(&part).is_some_and(|at| now < *at + LIFE_MEMORY);
         let needed = if survived { CONDEMNING_SCORE_OF_SURVIVED } else { CONDEMNING_SCORE };
-        score(&self.accused[&part]) >= needed && self.condemn(now, part)
+        score(&record.accusations) >= needed && self.condemn(now, part)
     }
 
     /// Condemns a part. Returns whether it was not condemned before.
@@ -249,44 +277,48 @@
     /// Returns what to tell other entries.
     pub fn report(&mut self, now: Duration) -> Report {
         let age = |at: Duration| now.saturating_sub(at).as_millis() as u64;
-        let is_news = |accusations: &Vec<Accusation>| {
-            accusations.iter().any(|accusation| now < accusation.at + NEWS_LIFETIME)
-        };
-        let after = self.reported_until;
-        let (later, earlier): (Vec<_>, Vec<_>) =
-            self.accused.iter().partition(|(part, _)| **part > after);
-        let mut parts: Vec<_> = later.into_iter().chain(earlier).collect();
-        parts.sort_by_key(|(_, accusations)| !is_news(accusations));
-        let older = parts.iter().take(REPORT_LIMIT).rfind(|(_, accused)| !is_news(accused));
-        self.reported_until = older.map_or(after, |(part, _)| **part);
-        let accused = parts.into_iter().take(REPORT_LIMIT).flat_map(|(part, accusations)| {
+        let news = self.accused.iter().filter(|(_, record)| now < record.news_until);
+        let mut parts: Vec<PartId> = news.map(|(part, _)| *part).take(REPORT_LIMIT).collect();
+        if now >= self.reminder_at && !self.accused.is_empty() {
+            self.reminder_at = now + REMINDER_INTERVAL;
+            let after = self.reminded_until.wrapping_add(1);
+            let ring = self.accused.range(after..).chain(self.accused.range(..after));
+            let reminded: Vec<PartId> = ring.map(|(part, _)| *part).take(REMINDER_PARTS).collect();
+            self.reminded_until = reminded.last().copied().unwrap_or_default();
+            parts.extend(reminded);
+        }
+        let rows = |part: &PartId| {
             let row = |accusation: &Accusation| {
-                (*part, accusation.crash, age(accusation.at), accusation.in_trial)
+                let Accusation { crash, at, in_trial } = accusation;
+                (*part, crash.upstream, crash.incarnation, age(*at), *in_trial)
             };
-            accusations.iter().map(row).collect::<Vec<_>>()
-        });
+            self.accused[part].accusations.iter().map(row).collect::<Vec<_>>()
+        };
         let cleared = self.cleared.iter().take(REPORT_LIMIT);
         let condemned = self.condemned.iter().take(REPORT_LIMIT);
         Report {
-            accused: accused.take(ROWS_LIMIT).collect(),
+            accused: parts.iter().flat_map(rows).collect(),
             cleared: cleared.map(|(part, (at, _))| (*part, age(*at))).collect(),
             condemned: condemned.map(|(part, at)| (*part, age(*at))).collect(),
         }
     }
 
-    /// Takes over what another entry reports. Returns the parts that are condemned by that.
-    pub fn receive(&mut self, now: Duration, report: &Report) -> Vec<PartId> {
+    /// Takes over what another entry reports, and reports it to others too if `pass_on` is set.
+    /// Returns the parts that are condemned by that.
+    pub fn receive(&mut self, now: Duration, report: &Report, pass_on: bool) -> Vec<PartId> {
         let time = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         for (part, age) in &report.cleared {
             let at = time(*age);
             let lived = self.lived.entry(*part).or_insert(at);
             *lived = at.max(*lived);
             let lived = *lived;
-            if let Some(accusations) = self.accused.get_mut(part) {
-                accusations.retain(|accusation| accusation.at > lived);
-                if accusations.is_empty() {
+            if let Some(record) = self.accused.get_mut(part) {
+                record.accusations.retain(|accusation| accusation.at > lived);
+                if record.accusations.is_empty() {
                     self.accused.remove(part);
-                    self.cleared.insert(*part, (lived, now));
+                    if pass_on {
+                        self.cleared.insert(*part, (lived, now));
+                    }
                 }
             }
         }
@@ -303,13 +335,14 @@
                 *requested_at = at.max(*requested_at);
             }
         }
-        for (part, crash, age, in_trial) in &report.accused {
+        for (part, upstream, incarnation, age, in_trial) in &report.accused {
             let at = time(*age);
             if at + ACCUSATION_LIFETIME <= now {
                 continue;
             }
-            let accusation = Accusation { crash: *crash, at, in_trial: *in_trial };
-            if self.accuse(now, *part, accusation) {
+            let crash = Crash { upstream: *upstream, incarnation: *incarnation };
+            let accusation = Accusation { crash, at, in_trial: *in_trial };
+            if self.accuse(now, *part, accusation, pass_on) {
                 condemned.push(*part);
             }
         }
@@ -318,9 +351,9 @@
 
     /// Forgets what has expired. Returns the parts that are no longer condemned.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<PartId> {
-        self.accused.retain(|_, accusations| {
-            accusations.retain(|accusation| now < accusation.at + ACCUSATION_LIFETIME);
-            !accusations.is_empty()
+        self.accused.retain(|_, record| {
+            record.accusations.retain(|accusation| now < accusation.at + ACCUSATION_LIFETIME);
+            !record.accusations.is_empty()
         });
         self.cleared.retain(|_, (_, since)| now < *since + NEWS_LIFETIME);
         if self.lived.len() > LIVED_LIMIT {
@@ -337,8 +370,8 @@
     }
 
     fn remove_oldest(&mut self) {
-        let oldest = self.accused.iter().min_by_key(|(_, accusations)| {
-            accusations.iter().map(|accusation| accusation.at).max()
+        let oldest = self.accused.iter().min_by_key(|(_, record)| {
+            record.accusations.iter().map(|accusation| accusation.at).max()
         });
         if let Some(part) = oldest.map(|(part, _)| *part) {
             self.accused.remove(&part);
--- a/crates/filberttrail-gateway/src/blame.rs
+++ b/crates/filberttrail-gateway/src/blame.rs
@@ -120,12 +120,12 @@
         self.lock().report(self.clock.now())
     }
 
-    /// Takes over what another entry reports.
-    pub fn receive(&self, report: &Report) {
+    /// Takes over what another entry reports, and reports it to others too if `pass_on` is set.
+    pub fn receive(&self, report: &Report, pass_on: bool) {
         if *report == Report::default() {
             return;
         }
-        let condemned = self.lock().receive(self.clock.now(), report);
+        let condemned = self.lock().receive(self.clock.now(), report, pass_on);
         self.record_condemned(&condemned);
     }
 
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -288,7 +288,8 @@
         let Message { kind, entry, data_centre, loads, leaving, blame, verdicts_known, .. } =
             message;
         hub.receive_leaving(&leaving);
-        hub.blame.receive(&blame);
+        let pass_on = !Overlay::is_direct(self.entries().len());
+        hub.blame.receive(&blame, pass_on);
         if verdicts_known {
             hub.note_verdicts_known();
         }
