Let the soak's store fall silent

The soak's store could refuse or lose responses to writes, not swallow requests, which is how all gateways lost their watches at once. Half of the outages are now silent; the draws of a plan stay as they were, so the seeds that are kept as regressions keep their other faults.

--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -296,6 +296,7 @@
     async fn disrupt_store(&self, malfunction: Malfunction, duration: Duration) {
         match malfunction {
             Malfunction::Unavailable => self.store.set_mode(Mode::Unavailable),
+            Malfunction::Silent => self.store.set_mode(Mode::Silent),
             Malfunction::LosesResponses => self.store.set_mode(Mode::LoseResponses),
             Malfunction::DiscardsHistory => return self.store.discard_history(),
         }
--- a/crates/filberttrail-soak/src/fault.rs
+++ b/crates/filberttrail-soak/src/fault.rs
@@ -45,6 +45,9 @@
     /// Responds to all requests with an error.
     #[display("unavailable")]
     Unavailable,
+    /// Never responds to the requests that arrive, also not later.
+    #[display("silent")]
+    Silent,
     /// Applies writes, but their responses are lost.
     #[display("loses answers")]
     LosesResponses,
--- a/crates/filberttrail-soak/src/plan.rs
+++ b/crates/filberttrail-soak/src/plan.rs
@@ -113,6 +113,8 @@
         }
         9 | 10 => {
             let malfunction = match rng.u32(..3) {
+                // No further draw, so that the plans of earlier seeds keep their other faults.
+                0 if duration.as_millis() % 2 == 1 => Malfunction::Silent,
                 0 => Malfunction::Unavailable,
                 1 => Malfunction::LosesResponses,
                 _ => Malfunction::DiscardsHistory,
