Probe an unavailable store with one call at a time for all kinds of objects

During an outage each of the five kinds that a gateway follows asked the store on its own, up to twice a second, and each call has its price; since pending watches are checked, every outage is noticed by all of them. Now one kind probes at a time, with the delay of its retries, and the others follow as soon as a call has succeeded. If its call fails, the next kind takes its turn, so that one kind that the store refuses holds up no other for long.

--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Mutex, Notify, OwnedMutexGuard, mpsc, watch};
 
 /// The sequence number of a change in the store, with the store's era (see [`revision`]).
 pub type Revision = u64;
@@ -131,6 +131,10 @@
     era: watch::Sender<Option<u64>>,
     /// The number of processes that check their watches and report changes to each other.
     checkers: AtomicU32,
+    /// Held by the one that probes the store while it is unavailable.
+    probe: Arc<Mutex<()>>,
+    /// Notifies of successful calls.
+    succeeded: watch::Sender<()>,
 }
 
 /// A response and the era of the store that sent it.
@@ -151,7 +155,9 @@
     pub fn new(address: SocketAddr, dialect: Dialect) -> Arc<Self> {
         let (era, _) = watch::channel(None);
         let checkers = AtomicU32::new(1);
-        Arc::new(Self { address, dialect, client: Client::new(), era, checkers })
+        let (succeeded, _) = watch::channel(());
+        let client = Client::new();
+        Arc::new(Self { address, dialect, client, era, checkers, probe: Arc::default(), succeeded })
     }
 
     /// Returns the store's era as of the last response; `None` before the first one. The era rises
@@ -179,6 +185,7 @@
             let is_last = !page.more || page.objects.is_empty();
             objects.extend(page.objects.into_iter().map(|object| response.joined(object)));
             if is_last {
+                self.succeeded.send_replace(());
                 return Ok((objects, revision.unwrap_or_default()));
             }
         }
@@ -298,6 +305,7 @@
         expect_ok(kind, &response)?;
         let Changes { changes, revision } =
             (self.dialect.read_changes)(&response.body).ok_or_else(|| malformed(kind))?;
+        self.succeeded.send_replace(());
         let joined = |change: Change| Change { object: response.joined(change.object), ..change };
         let changes = changes.into_iter().map(joined).collect();
         Ok(Some(Changes { changes, revision: revision::join(response.era, revision) }))
@@ -315,6 +323,16 @@
         interval * checkers / CHECKS_PER_INTERVAL
     }
 
+    /// Waits for the turn to probe the store, which is unavailable. Returns nothing if a call has
+    /// succeeded meanwhile.
+    pub(crate) async fn wait_for_probe(&self) -> Option<OwnedMutexGuard<()>> {
+        let mut succeeded = self.succeeded.subscribe();
+        tokio::select! {
+            turn = self.probe.clone().lock_owned() => Some(turn),
+            _ = succeeded.changed() => None,
+        }
+    }
+
     /// Receives the store's era whenever it rises.
     pub(crate) fn subscribe_era(&self) -> watch::Receiver<Option<u64>> {
         self.era.subscribe()
--- a/crates/filberttrail-store/src/watcher.rs
+++ b/crates/filberttrail-store/src/watcher.rs
@@ -74,6 +74,8 @@
     /// While `active` is false, nothing is requested from the store.
     pub(crate) async fn run(mut self, wake: &Notify, mut active: watch::Receiver<bool>) {
         let mut delay = RETRY_DELAY;
+        // While the store is unavailable, all kinds share one probe, which includes the delay.
+        let mut probe = None;
         let mut era = self.objects.subscribe_era();
         while !self.events.is_closed() {
             let seen_era = self.last_seen.map(revision::era);
@@ -88,6 +90,7 @@
                 Ok(_) = inactive.wait_for(|active| !*active) => Ok(Step::Deactivated),
                 _ = era.wait_for(|era| seen_era.is_some() && *era > seen_era) => Ok(Step::Relist),
             };
+            drop(probe.take());
             match step {
                 Ok(Step::Read(event, revision)) => {
                     let changed = matches!(event, Event::Changed(..));
@@ -112,7 +115,10 @@
                         let text = error.current_context().to_string();
                         let _ = self.events.send(Event::Lost(text)).await;
                     }
-                    tokio::time::sleep(jitter(delay)).await;
+                    probe = self.objects.wait_for_probe().await;
+                    if probe.is_some() {
+                        tokio::time::sleep(jitter(delay)).await;
+                    }
                     delay = (delay * 2).min(RETRY_DELAY_LIMIT);
                 }
             }
