Delay a retry for news of a crash only if there was a crash

A request that failed before its answer had begun waited 0.2 s before it was sent again, also where the connection was only reset or the answer lost and the upstream lives. Now the upstream's port is tried first.

--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -160,7 +160,7 @@
             Err(failed) => {
                 record_failure(hub, caller_request, attempts, &failed, &target.id);
                 drop((permit, trial));
-                crash::wait_for_news(hub, caller_request, &failed).await;
+                crash::wait_for_news(hub, caller_request, &failed, &target).await;
                 failed
             }
         };
--- a/crates/filberttrail-gateway/src/crash.rs
+++ b/crates/filberttrail-gateway/src/crash.rs
@@ -36,10 +36,15 @@
     true
 }
 
-/// Waits for news of a crash if a request failed before its answer had begun, and its prompt has
-/// parts that are not known to be harmless.
-pub async fn wait_for_news(hub: &Hub, caller_request: &CallerRequest, failed: &Failed) {
-    if may_be_crash(hub, caller_request, failed) {
+/// Waits for news of a crash if the upstream crashed before the answer to a request had begun, and
+/// the prompt has parts that are not known to be harmless.
+pub async fn wait_for_news(
+    hub: &Hub,
+    caller_request: &CallerRequest,
+    failed: &Failed,
+    target: &Target,
+) {
+    if may_be_crash(hub, caller_request, failed) && has_crashed(target.address).await {
         tokio::time::sleep(NEWS_DELAY).await;
     }
 }
