--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -347,9 +347,9 @@
 }
 
 /// The bound of the estate's users: at most this many requests with the part may be sent later than
-/// `stabilityWindowMs` after the fifth crash.
+/// [`SETTLING_MS`] after the fifth crash.
 const SENDS_AFTER_FIFTH_CRASH: usize = 3;
-const STABILITY_WINDOW_MS: u64 = 3_000;
+const SETTLING_MS: u64 = 3_000;
 
 #[test]
 fn requests_with_a_crashing_part_stop_within_five_crashes_in_estates_of_all_sizes() {
@@ -376,7 +376,7 @@
         for seed in 0..seeds {
             let estate = Estate::play(terms, seed, 30_000);
             let late = estate.crashes.get(4).map_or(0, |fifth| {
-                let late = estate.bad_sends.iter().filter(|at| **at > fifth + STABILITY_WINDOW_MS);
+                let late = estate.bad_sends.iter().filter(|at| **at > fifth + SETTLING_MS);
                 late.count()
             });
             assert!(late <= SENDS_AFTER_FIFTH_CRASH, "{name}, seed {seed}: {late} sends too late");
@@ -395,8 +395,8 @@
 fn entries_that_restart_learn_of_a_condemned_part_from_the_others() {
     for seed in 100..140 {
         let estate = Estate::play(Terms { restarts_ms: 2_000, ..TERMS }, seed, 40_000);
-        let fifth = estate.crashes.get(4).copied().unwrap_or(u64::MAX - STABILITY_WINDOW_MS);
-        let late = estate.bad_sends.iter().filter(|at| **at > fifth + STABILITY_WINDOW_MS).count();
+        let fifth = estate.crashes.get(4).copied().unwrap_or(u64::MAX - SETTLING_MS);
+        let late = estate.bad_sends.iter().filter(|at| **at > fifth + SETTLING_MS).count();
         assert!(late <= SENDS_AFTER_FIFTH_CRASH, "seed {seed}: {late} sends too late");
     }
 }
