Prove that a watch has missed nothing by reads that are not stale, and share the proofs

What callers saw: changes in force seconds late at all entries at once. Cause: a watch that an outage swallowed is never answered, and the checks beside it read what may be seconds old. All watches were sent 0.3 s after the same change, so one outage took all of them. Ruled out: short watches (a full call each interval and process). Change: a proof is a response that is not stale, dated by its request. Entries tell each other how old their proofs are; one asks when none has for a quarter of the bound, the others are spared. Watches are sent again after a random delay. The bound comes from the settings. store_age_seconds is now the age of the proof. Before and after: received 3.3 s after a change with reads 3 s behind, of 2 s allowed; now within the bound (platform/tests/watch.rs, simulated time).

--- a/crates/filberttrail-fleet/src/lib.rs
+++ b/crates/filberttrail-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod candidate;
 pub mod configuration;
+pub mod currency;
 pub mod event;
 pub mod freshness;
 pub mod health;
--- a/crates/filberttrail-fleet/src/overlay.rs
+++ b/crates/filberttrail-fleet/src/overlay.rs
@@ -51,10 +51,9 @@
         entries <= DIRECT_LIMIT
     }
 
-    /// Returns the number of entries that watch the store, this one included, and report changes to
-    /// each other within tenths of a second. With relays, only those of one data centre count.
-    pub fn count_watchers(entries: usize) -> u32 {
-        if Self::is_direct(entries) { entries as u32 } else { RELAYS as u32 }
+    /// Returns the number of entries that watch the store, this one included.
+    pub fn count_watchers(entries: usize, data_centres: usize) -> u32 {
+        if Self::is_direct(entries) { entries as u32 } else { (RELAYS * data_centres) as u32 }
     }
 
     /// Returns the relays of one data centre. `entries` has the data centre of each other entry, by
--- /dev/null
+++ b/crates/filberttrail-gateway/src/currency.rs
@@ -0,0 +1,68 @@
+//! The proofs that this entry's knowledge of the store is current: its own calls and those of other
+//! entries.
+
+use filberttrail_fleet::currency::{Age, Ages};
+use filberttrail_fleet::snapshot::Progress;
+use filberttrail_kernel::clock;
+use filberttrail_store::Proof;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The last proof for each kind of object.
+pub struct Currency {
+    /// Proof for the upstreams.
+    pub upstreams: Arc<Proof>,
+    /// Proof for the configuration.
+    pub configuration: Arc<Proof>,
+    /// Proof for the data centres that are out of service.
+    pub outs: Arc<Proof>,
+    /// Proof for the slow upstreams.
+    pub slowdowns: Arc<Proof>,
+    /// Proof for the registrations of entries.
+    pub entries: Arc<Proof>,
+}
+
+impl Currency {
+    /// Creates the state of an entry that has not read anything.
+    pub fn new(clock: &clock::Shared) -> Self {
+        let proof = || Proof::new(clock.clone());
+        let (upstreams, configuration, outs) = (proof(), proof(), proof());
+        Self { upstreams, configuration, outs, slowdowns: proof(), entries: proof() }
+    }
+
+    /// Returns the ages of the proofs.
+    pub fn ages(&self) -> Ages {
+        let age = |proof: &Proof| -> Age {
+            let age = proof.now().saturating_sub(proof.proven_at()?);
+            Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+        };
+        Ages {
+            upstreams: age(&self.upstreams),
+            configuration: age(&self.configuration),
+            outs: age(&self.outs),
+            slowdowns: age(&self.slowdowns),
+            entries: age(&self.entries),
+        }
+    }
+
+    /// Records the proofs of another entry. `ages` counts from the time `at`, `changed` are the last
+    /// changes that the other entry knows, and `followed` are the revisions up to which this one
+    /// has followed the store.
+    pub fn accept(&self, at: Duration, ages: &Ages, changed: &Progress, followed: &Progress) {
+        let held = ages.held_by(followed, changed);
+        let pairs = [
+            (&self.upstreams, held.upstreams),
+            (&self.configuration, held.configuration),
+            (&self.outs, held.outs),
+            (&self.slowdowns, held.slowdowns),
+            (&self.entries, held.entries),
+        ];
+        for (proof, age) in pairs {
+            let proven_at =
+                age.and_then(|age| at.checked_sub(Duration::from_millis(u64::from(age))));
+            if let Some(proven_at) = proven_at {
+                proof.record(proven_at);
+            }
+        }
+    }
+}
--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -5,19 +5,19 @@
 use filberttrail_fleet::Table;
 use filberttrail_fleet::snapshot::{Progress, Revision};
 use filberttrail_journal::journal::Priority;
-use filberttrail_store::Objects;
 use filberttrail_store::feed::{Change, Event, Object};
 use filberttrail_store::slowdown::{self, Slowdown};
+use filberttrail_store::{Objects, Proof};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
-/// Interval at which the watches of the configuration, upstreams and data centres out of service are
-/// checked. With the timeout of a call it stays below the 3 s after which changes that follow an
-/// outage have to be in force.
-const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Age of a proof from which the configuration, upstreams and data centres out of service are
+/// checked, as a fraction of the time within which a change has to be in force. The rest is for the
+/// spread of the checks, and for telling the other entries.
+const CHECK_FRACTION: f64 = 0.25;
 /// Interval at which the other watches are checked: what they report is a matter of efficiency.
 pub(crate) const RELAXED_CHECK_INTERVAL: Duration = Duration::from_millis(3_000);
 
@@ -30,9 +30,10 @@
 ) {
     let kind = hub.interface.upstreams;
     let read = hub.interface.read_upstream;
-    let mut events = objects.follow(kind, CHECK_INTERVAL, wake, active);
+    let proof = hub.currency.upstreams.clone();
+    let mut events = objects.follow(kind, check_interval(&hub), proof.clone(), wake, active);
     while let Some(event) = events.recv().await {
-        match record_event(&hub, kind, |progress| &mut progress.upstreams, event) {
+        match record_event(&hub, kind, |progress| &mut progress.upstreams, &proof, event) {
             Some(Update::All(all)) => {
                 let known = all.iter().filter_map(|object| {
                     let upstream = read(&object.name, &object.value);
@@ -71,9 +72,11 @@
     active: watch::Receiver<bool>,
 ) {
     let (kind, name) = hub.interface.configuration;
-    let mut events = objects.follow(kind, CHECK_INTERVAL, wake, active);
+    let proof = hub.currency.configuration.clone();
+    let mut events = objects.follow(kind, check_interval(&hub), proof.clone(), wake, active);
     while let Some(event) = events.recv().await {
-        let object = match record_event(&hub, kind, |progress| &mut progress.configuration, event) {
+        let pick: Pick = |progress| &mut progress.configuration;
+        let object = match record_event(&hub, kind, pick, &proof, event) {
             Some(Update::All(all)) => all.into_iter().rfind(|object| object.name == name),
             Some(Update::Changed(changes)) => changes
                 .into_iter()
@@ -106,10 +109,11 @@
     active: watch::Receiver<bool>,
 ) {
     let kind = hub.interface.outs;
-    let mut events = objects.follow(kind, CHECK_INTERVAL, wake, active);
+    let proof = hub.currency.outs.clone();
+    let mut events = objects.follow(kind, check_interval(&hub), proof.clone(), wake, active);
     let mut outs = BTreeSet::new();
     while let Some(event) = events.recv().await {
-        match record_event(&hub, kind, |progress| &mut progress.outs, event) {
+        match record_event(&hub, kind, |progress| &mut progress.outs, &proof, event) {
             Some(Update::All(all)) => {
                 // A restored store may lack a data centre that was taken out shortly before.
                 if !hub.is_restoring() {
@@ -139,10 +143,11 @@
     active: watch::Receiver<bool>,
 ) {
     let kind = slowdown::KIND;
-    let mut events = objects.follow(kind, RELAXED_CHECK_INTERVAL, wake, active);
+    let proof = hub.currency.slowdowns.clone();
+    let mut events = objects.follow(kind, RELAXED_CHECK_INTERVAL, proof.clone(), wake, active);
     let mut slowdowns: HashMap<String, Slowdown> = HashMap::new();
     while let Some(event) = events.recv().await {
-        match record_event(&hub, kind, |progress| &mut progress.slowdowns, event) {
+        match record_event(&hub, kind, |progress| &mut progress.slowdowns, &proof, event) {
             Some(Update::All(all)) => {
                 slowdowns = all
                     .into_iter()
@@ -180,6 +185,10 @@
     last.into_values().collect()
 }
 
+fn check_interval(hub: &Hub) -> Duration {
+    hub.settings.apply_within.mul_f64(CHECK_FRACTION)
+}
+
 /// The objects of an event.
 pub(crate) enum Update {
     /// All objects of the kind.
@@ -188,31 +197,28 @@
     Changed(Vec<Change>),
 }
 
-/// Records the availability of the store and the revisions that an event shows, and returns the
-/// event's objects.
+/// Returns the revision of one kind of object.
+pub(crate) type Pick = fn(&mut Progress) -> &mut Revision;
+
+/// Records the availability of the store, the revisions and the proof that an event shows, and
+/// returns the event's objects.
 pub(crate) fn record_event(
     hub: &Hub,
     kind: &'static str,
-    pick: fn(&mut Progress) -> &mut Revision,
+    pick: Pick,
+    proof: &Proof,
     event: Event,
 ) -> Option<Update> {
-    let (update, seen, changed) = match event {
-        Event::All(all, seen) => {
+    let (update, position, changed) = match event {
+        Event::All(all, position) => {
             let changed = all.iter().map(|object| object.revision).max();
-            (Update::All(all), seen, changed)
+            (Some(Update::All(all)), position, changed)
         }
-        Event::Changed(changes, seen) => {
+        Event::Changed(changes, position) => {
             let changed = changes.iter().map(|change| change.object.revision).max();
-            (Update::Changed(changes), seen, changed)
-        }
-        Event::Unchanged(seen) => {
-            hub.record_progress(kind, pick, seen, Revision::default());
-            return None;
-        }
-        Event::Checked => {
-            hub.record_store_response(kind);
-            return None;
+            (Some(Update::Changed(changes)), position, changed)
         }
+        Event::Unchanged(position) => (None, position, None),
         Event::Lost(error) => {
             hub.record_store_state(kind, Some(error));
             return None;
@@ -222,8 +228,10 @@
             return None;
         }
     };
+    let seen = position.revision;
     hub.record_progress(kind, pick, seen, changed.unwrap_or_default().min(seen));
-    Some(update)
+    proof.record(position.at);
+    update
 }
 
 fn log_unreadable(hub: &Hub, kind: &str, object: &Object) {
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -2,6 +2,7 @@
 
 use crate::blame::Blame;
 use crate::connection::Pool;
+use crate::currency::Currency;
 use crate::id_hash::{IdHash, hash_id};
 use crate::memory::Memory;
 use crate::metrics::Metrics;
@@ -14,6 +15,7 @@
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
 use filberttrail_fleet::blame::{PartId, TRIAL_ENTRIES};
+use filberttrail_fleet::currency::Ages;
 use filberttrail_fleet::snapshot::{Progress, Revision, Snapshot};
 use filberttrail_fleet::subset::{self, Share};
 use filberttrail_fleet::upstream::{self, Upstream};
@@ -42,6 +44,9 @@
 const UTILISATION_LIMIT: f64 = 1.0;
 /// Interval at which requests check whether the knowledge is fresh after a pause.
 const REFRESH_POLL: Duration = Duration::from_millis(10);
+/// Time that a message between entries may take. Longer delays add to the age of what it proves, and
+/// entries behind links that delay messages longer are not expected to apply changes in time.
+const TRANSIT_LIMIT: Duration = Duration::from_millis(100);
 /// Maximum number of leaving upstreams in a message to other entries.
 const LEAVING_LIMIT: usize = 64;
 /// A request counts as a caller's retry if its time left is below this fraction of the longest one
@@ -66,6 +71,8 @@
     pub memory: Memory,
     /// Prompt parts that are blamed for crashes.
     pub blame: Blame,
+    /// Proofs that what was read from the store is current.
+    pub currency: Currency,
     /// Notified after changes that may have made slots available to waiting requests.
     pub dispatch_requested: Notify,
     state: Mutex<State>,
@@ -86,6 +93,7 @@
     ) -> Arc<Self> {
         let pool = Pool::new(clock.clone());
         let blame = Blame::new(clock.clone(), journal.clone());
+        let currency = Currency::new(&clock);
         let mut state = State::default();
         state.freshness.tick(clock.now());
         let state = Mutex::new(state);
@@ -101,6 +109,7 @@
             pool,
             memory: Memory::new(),
             blame,
+            currency,
             dispatch_requested,
             state,
             draining,
@@ -410,10 +419,14 @@
         self.request_dispatch();
     }
 
-    /// Records that the store responded to a call about a kind of object.
-    pub fn record_store_response(&self, kind: &'static str) {
-        let now = self.now();
-        self.lock().responded_at.insert(kind, now);
+    /// Records what another entry's message proves. `changed` are the last changes that it knows.
+    pub fn accept_proofs(&self, ages: &Ages, changed: &Progress) {
+        // A message may have waited for as long as this process was paused.
+        if self.is_stale() {
+            return;
+        }
+        let at = self.now().saturating_sub(TRANSIT_LIMIT);
+        self.currency.accept(at, ages, changed, &self.followed_revisions());
     }
 
     /// Records the revision up to which a kind of object was followed, and that of its last change.
@@ -427,7 +440,6 @@
         let mut state = self.lock();
         let previous = *pick(&mut state.followed);
         self.note_restore(&mut state, previous, seen);
-        state.responded_at.insert(kind, self.now());
         let Interface { upstreams, configuration, outs, .. } = self.interface;
         state.freshness.record_read(kind, &[upstreams, configuration.0, outs]);
         *pick(&mut state.followed) = seen.max(previous);
@@ -437,14 +449,16 @@
 
     /// Encodes the metrics in the Prometheus text format.
     pub fn render_metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
-        let now = self.now();
-        let state = self.lock();
-        let table = state.table.as_ref();
-        self.metrics.set_generation(table.map_or(0, |table| table.configuration().generation));
-        for (kind, at) in &state.responded_at {
-            self.metrics.set_store_age(kind, now.saturating_sub(*at));
+        let generation =
+            self.lock().table.as_ref().map_or(0, |table| table.configuration().generation);
+        self.metrics.set_generation(generation);
+        let ages = self.currency.ages();
+        let Interface { upstreams, configuration, outs, .. } = self.interface;
+        let kinds =
+            [(upstreams, ages.upstreams), (configuration.0, ages.configuration), (outs, ages.outs)];
+        for (kind, age) in kinds.into_iter().filter_map(|(kind, age)| Some((kind, age?))) {
+            self.metrics.set_store_age(kind, Duration::from_millis(u64::from(age)));
         }
-        drop(state);
         self.metrics.set_condemned_parts(self.blame.count_condemned());
         self.metrics.render()
     }
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller_request;
 pub mod connection;
 pub mod crash;
+pub mod currency;
 pub mod daemon;
 pub mod exchange;
 pub mod follow;
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::id_hash::IdHash;
 use filberttrail_fleet::blame::Report;
+use filberttrail_fleet::currency::Ages;
 use filberttrail_fleet::snapshot::Progress;
 use filberttrail_fleet::upstream;
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,9 @@
     pub loads: Vec<(IdHash, u32)>,
     /// Revision of the last change of each kind of object that the entry knows.
     pub changed: Progress,
+    /// Time since there were proven to be no later changes than these.
+    #[serde(default)]
+    pub ages: Ages,
     /// Upstreams that have said that they are about to stop, with their incarnations.
     pub leaving: Vec<(IdHash, upstream::Incarnation)>,
     /// Prompt parts that are blamed for crashes.
--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -46,7 +46,10 @@
                 "Prompt parts whose requests are refused because they crash upstreams",
             )?,
             store_age: GaugeVec::new(
-                Opts::new("filberttrail_store_age_seconds", "Time since the store last responded"),
+                Opts::new(
+                    "filberttrail_store_age_seconds",
+                    "Time since the knowledge was last proven to be current",
+                ),
                 &["kind"],
             )?,
             registry,
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -5,7 +5,7 @@
 //! In a large estate, entries send to relays, and only relays watch the store (see
 //! [`filberttrail_fleet::overlay`]). The others fetch each change from a relay.
 
-use crate::follow::{self, RELAXED_CHECK_INTERVAL, Update};
+use crate::follow::{self, Pick, RELAXED_CHECK_INTERVAL, Update};
 use crate::id_hash::IdHash;
 use crate::message::{self, Kind, Message};
 use crate::{Hub, Settings};
@@ -272,6 +272,7 @@
             match ciborium::from_reader::<Message, _>(&buffer[..length]) {
                 Ok(message) => {
                     let changed = message.changed;
+                    hub.accept_proofs(&message.ages, &changed);
                     self.receive(&hub, message, &socket, from);
                     self.catch_up(&hub, &changed, from);
                 }
@@ -470,10 +471,12 @@
             tokio::time::sleep(FIRST_START_DELAY).await;
         }
         let active = self.watching_entries.subscribe();
-        let mut events =
-            objects.follow(KIND, RELAXED_CHECK_INTERVAL, self.wakes.entries.clone(), active);
+        let proof = hub.currency.entries.clone();
+        let wake = self.wakes.entries.clone();
+        let mut events = objects.follow(KIND, RELAXED_CHECK_INTERVAL, proof.clone(), wake, active);
         while let Some(event) = events.recv().await {
-            let update = follow::record_event(&hub, KIND, |progress| &mut progress.entries, event);
+            let pick: Pick = |progress| &mut progress.entries;
+            let update = follow::record_event(&hub, KIND, pick, &proof, event);
             let mut entries = (*self.entries()).clone();
             match update {
                 Some(Update::All(all)) => {
@@ -495,7 +498,9 @@
                 }
                 None => continue,
             }
-            objects.set_checkers(Overlay::count_watchers(entries.len()));
+            let data_centres: BTreeSet<&String> =
+                entries.values().map(|entry| &entry.data_centre).collect();
+            objects.set_checkers(Overlay::count_watchers(entries.len(), data_centres.len()));
             self.set_entries(&hub, entries);
         }
     }
@@ -508,6 +513,7 @@
         data_centre: hub.settings.data_centre.clone(),
         loads,
         changed: hub.latest_changes(),
+        ages: hub.currency.ages(),
         leaving: hub.leaving_upstreams(),
         blame: hub.blame.report(),
         verdicts_known: hub.knows_verdicts(),
--- a/crates/filberttrail-gateway/src/settings.rs
+++ b/crates/filberttrail-gateway/src/settings.rs
@@ -28,6 +28,8 @@
     pub cold_overshoot: f64,
     /// Rate by which that limit may be exceeded in addition, in requests per second.
     pub cold_slack: f64,
+    /// Time within which an acknowledged configuration has to be in force.
+    pub apply_within: Duration,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// Maximum number of connections from callers.
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -57,8 +57,6 @@
     pub heard: HashMap<String, Duration>,
     /// Kinds of objects for which the store is unavailable.
     pub unavailable_kinds: HashSet<&'static str>,
-    /// Time of the store's last response, by kind of object.
-    pub responded_at: BTreeMap<&'static str, Duration>,
     /// Time at which the store last became available again for upstreams.
     pub upstreams_regained_at: Duration,
     /// Whether what is known was read since the last pause of the process.
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -3,6 +3,7 @@
 //! Revisions never decrease. If the store has discarded the history since the last revision seen, or
 //! was restored from a copy, the objects are listed again.
 
+use crate::proof::Proof;
 use crate::revision;
 use crate::watcher::Watcher;
 use bytes::Bytes;
@@ -20,9 +21,9 @@
 
 /// The timeout of a call. The store responds within milliseconds; a slow one takes a few hundred.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The number of checks of a kind that all processes together make in an interval. With more
-/// processes each checks less often, so that the calls to the store don't grow with their number.
-const CHECKS_PER_INTERVAL: u32 = 8;
+/// The range of the random delay of a check, relative to its interval. In the shortest range, 0.5 s, a
+/// proof reaches the other processes several times.
+const CHECK_SPREAD: f64 = 1.0;
 /// The maximum size of a response body, in bytes.
 const RESPONSE_LIMIT: usize = 8 << 20;
 /// The maximum number of events that wait for the receiver.
@@ -94,17 +95,24 @@
     pub revision: Revision,
 }
 
+/// How far a response of the store brings the knowledge of a kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// The revision up to which all changes are known.
+    pub revision: Revision,
+    /// The time at which there were no later changes: that of the request.
+    pub at: Duration,
+}
+
 /// An event of a watched kind.
 #[derive(Debug)]
 pub enum Event {
-    /// All objects of the kind, which replace those received before, at this revision.
-    All(Vec<Object>, Revision),
-    /// Changes, oldest first, up to this revision.
-    Changed(Vec<Change>, Revision),
-    /// The store responded that nothing has changed up to this revision.
-    Unchanged(Revision),
-    /// The store responded, but may not know the changes of the last seconds.
-    Checked,
+    /// All objects of the kind, which replace those received before.
+    All(Vec<Object>, Position),
+    /// Changes, oldest first.
+    Changed(Vec<Change>, Position),
+    /// The store responded that nothing has changed.
+    Unchanged(Position),
     /// The store failed to respond, or its response was invalid; the text describes the failure.
     Lost(String),
     /// The store responds again.
@@ -251,8 +259,9 @@
 
     /// Lists a kind and then watches it until the receiver is dropped.
     ///
-    /// A pending watch is checked each `check_interval`, or less often if other processes check
-    /// theirs too (see [`Self::set_checkers`]).
+    /// A pending watch is checked once nothing has proven for `check_interval` that there are no
+    /// changes. The receiver of the events has to record their positions in `proof`, and may record
+    /// proofs that it gets from other processes (see [`Self::set_checkers`]).
     ///
     /// `wake` interrupts a pending watch and lists the objects again; it is for callers that have
     /// learned of a newer revision from another process. While `active` is false, nothing is
@@ -261,11 +270,12 @@
         self: &Arc<Self>,
         kind: &'static str,
         check_interval: Duration,
+        proof: Arc<Proof>,
         wake: Arc<Notify>,
         active: watch::Receiver<bool>,
     ) -> mpsc::Receiver<Event> {
         let (sender, receiver) = mpsc::channel(EVENT_CAPACITY);
-        let watcher = Watcher::new(self.clone(), kind, check_interval, sender);
+        let watcher = Watcher::new(self.clone(), kind, check_interval, proof, sender);
         tokio::spawn(async move { watcher.run(&wake, active).await });
         receiver
     }
@@ -282,13 +292,11 @@
         self.read_changes(kind, after, &path, wait + CALL_TIMEOUT).await
     }
 
-    /// Returns a revision up to which no object of a kind has changed since `after`, or `None` if
-    /// some have. Costs less than [`Self::watch`], and may miss the changes of the last seconds.
-    pub(crate) async fn check(&self, kind: &str, after: Revision) -> Result<Option<Revision>> {
+    /// Returns whether the store responds to a call that costs less than [`Self::watch`], but may
+    /// miss the changes of the last seconds.
+    pub(crate) async fn ping(&self, kind: &str, after: Revision) -> Result<()> {
         let path = (self.dialect.stale_changes)(kind, revision::number(after));
-        let changes = self.read_changes(kind, after, &path, CALL_TIMEOUT).await?;
-        let unchanged = changes.filter(|changes| changes.changes.is_empty());
-        Ok(unchanged.map(|changes| changes.revision.max(after)))
+        self.read_changes(kind, after, &path, CALL_TIMEOUT).await.map(drop)
     }
 
     async fn read_changes(
@@ -311,16 +319,19 @@
         Ok(Some(Changes { changes, revision: revision::join(response.era, revision) }))
     }
 
-    /// Sets the number of processes, this one included, that check their watches and report changes
-    /// to each other. Together they check a kind about [`CHECKS_PER_INTERVAL`] times an interval.
+    /// Sets the number of processes, this one included, that check their watches and report proofs
+    /// to each other.
     pub fn set_checkers(&self, checkers: u32) {
         self.checkers.store(checkers, Ordering::Relaxed);
     }
 
-    /// Returns the interval of this process's checks, of which `interval` is the shortest.
-    pub(crate) fn share_checks(&self, interval: Duration) -> Duration {
-        let checkers = self.checkers.load(Ordering::Relaxed).max(CHECKS_PER_INTERVAL);
-        interval * checkers / CHECKS_PER_INTERVAL
+    /// Returns the age of a proof from which this process checks, of which `interval` is the
+    /// shortest. It is random, so that one process checks before the others and spares them theirs:
+    /// the more there are, the more of them draw a long delay.
+    pub(crate) fn spread_check(&self, interval: Duration) -> Duration {
+        let checkers = f64::from(self.checkers.load(Ordering::Relaxed).max(1));
+        let draw = 1.0 + fastrand::f64().max(f64::MIN_POSITIVE).ln() / (checkers.ln() + 1.0);
+        interval.mul_f64(1.0 + CHECK_SPREAD * draw.max(0.0))
     }
 
     /// Waits for the turn to probe the store, which is unavailable. Returns nothing if a call has
--- a/crates/filberttrail-store/src/lib.rs
+++ b/crates/filberttrail-store/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod feed;
 pub mod follow;
+pub mod proof;
 pub mod revision;
 pub mod slowdown;
 pub mod status;
@@ -11,3 +12,4 @@
 
 pub use client::{Platform, Write};
 pub use feed::Objects;
+pub use proof::Proof;
--- a/crates/filberttrail-store/src/watcher.rs
+++ b/crates/filberttrail-store/src/watcher.rs
@@ -2,10 +2,12 @@
 //!
 //! The silence of a pending watch proves nothing. A watch that reached the store during an outage is
 //! never answered, although its connection stays open and the store is back. So while a watch waits,
-//! cheap calls check at intervals whether the store responds and knows of changes.
+//! the store is asked for changes whenever nothing else has proven for some time that there are none.
+//! Stale reads prove nothing: they may be seconds behind.
 
-use crate::feed::{Event, Objects, Revision};
+use crate::feed::{Event, Objects, Position, Revision};
 use crate::follow::jitter;
+use crate::proof::Proof;
 use crate::revision;
 use filberttrail_kernel::Result;
 use std::sync::Arc;
@@ -14,12 +16,11 @@
 
 /// The duration of one watch request.
 const WATCH_DURATION: Duration = Duration::from_millis(25_000);
-/// The time after which a watch is checked for the first time. An outage that swallows the watch
-/// without being noticed has to be shorter.
-const FIRST_CHECK_DELAY: Duration = Duration::from_millis(300);
-/// The delay after a response with changes, so that further changes arrive in one batch. It must
-/// stay well below the few seconds within which changes have to come into force.
-const BATCH_DELAY: Duration = Duration::from_millis(300);
+/// The maximum delay after a response with changes, so that further changes arrive in one batch. It
+/// must stay well below the few seconds within which changes have to come into force. The delay is
+/// random, because all processes receive a change at the same time: watches that are sent at the
+/// same time can be lost together.
+const BATCH_DELAY_LIMIT: Duration = Duration::from_millis(400);
 /// The initial delay before a retry, doubled after each failure up to [`RETRY_DELAY_LIMIT`].
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The maximum delay before a retry: a recovered store has to be detected within 1 s.
@@ -28,20 +29,16 @@
 /// What is known about the store's responses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trust {
-    /// A watch waits for changes.
-    Watching,
-    /// There are changes that the watch did not report, so the next request does not wait.
-    Missed,
+    /// The last request was answered.
+    Responding,
     /// The last request failed.
     Lost,
 }
 
 /// The result of one request.
 enum Step {
-    /// Changes or a list, and the revision from which to watch next.
-    Read(Event, Revision),
-    /// The store knows of changes after this revision that the pending watch has not reported.
-    Missed(Revision),
+    /// Changes or a list, up to this position.
+    Read(Event, Position),
     /// The objects have to be listed again.
     Relist,
     /// The follower was deactivated.
@@ -53,8 +50,11 @@
     objects: Arc<Objects>,
     kind: &'static str,
     check_interval: Duration,
+    proof: Arc<Proof>,
     events: mpsc::Sender<Event>,
     last_seen: Option<Revision>,
+    /// The time of the last request that was answered with a list or with changes.
+    read_at: Option<Duration>,
     trust: Trust,
 }
 
@@ -64,10 +64,11 @@
         objects: Arc<Objects>,
         kind: &'static str,
         check_interval: Duration,
+        proof: Arc<Proof>,
         events: mpsc::Sender<Event>,
     ) -> Self {
-        let (last_seen, trust) = (None, Trust::Watching);
-        Self { objects, kind, check_interval, events, last_seen, trust }
+        let (last_seen, read_at, trust) = (None, None, Trust::Responding);
+        Self { objects, kind, check_interval, proof, events, last_seen, read_at, trust }
     }
 
     /// Follows the objects until the receiver of the events is dropped. `wake` lists them again.
@@ -82,32 +83,29 @@
             // Closing the channel leaves the last value in force.
             let _ = active.wait_for(|active| *active).await;
             let mut inactive = active.clone();
-            let waits = self.trust == Trust::Watching && self.last_seen.is_some();
+            let waits = self.trust == Trust::Responding && self.last_seen.is_some();
             let step = tokio::select! {
                 step = self.request() => step,
-                step = self.check_until_missed(), if waits => step,
+                step = self.check_until_changed(), if waits => step,
                 () = wake.notified() => Ok(Step::Relist),
                 Ok(_) = inactive.wait_for(|active| !*active) => Ok(Step::Deactivated),
                 _ = era.wait_for(|era| seen_era.is_some() && *era > seen_era) => Ok(Step::Relist),
             };
             drop(probe.take());
             match step {
-                Ok(Step::Read(event, revision)) => {
+                Ok(Step::Read(event, position)) => {
                     let changed = matches!(event, Event::Changed(..));
-                    self.last_seen = Some(revision);
+                    self.last_seen = Some(position.revision);
+                    self.read_at = Some(position.at);
                     let _ = self.events.send(event).await;
-                    if std::mem::replace(&mut self.trust, Trust::Watching) == Trust::Lost {
+                    if std::mem::replace(&mut self.trust, Trust::Responding) == Trust::Lost {
                         let _ = self.events.send(Event::Regained).await;
                     }
                     delay = RETRY_DELAY;
                     if changed {
-                        tokio::time::sleep(BATCH_DELAY).await;
+                        tokio::time::sleep(jitter(BATCH_DELAY_LIMIT)).await;
                     }
                 }
-                Ok(Step::Missed(after)) => {
-                    self.last_seen = Some(after);
-                    self.trust = Trust::Missed;
-                }
                 Ok(Step::Relist) => self.last_seen = None,
                 Ok(Step::Deactivated) => {}
                 Err(error) => {
@@ -127,42 +125,63 @@
 
     async fn request(&self) -> Result<Step> {
         let Some(after) = self.last_seen else {
+            let at = self.proof.now();
             let (objects, revision) = self.objects.list(self.kind).await?;
-            return Ok(Step::Read(Event::All(objects, revision), revision));
-        };
-        let wait = match self.trust {
-            Trust::Watching => WATCH_DURATION,
-            Trust::Missed => Duration::ZERO,
-            Trust::Lost => {
-                // The cheap call is repeated until the store responds to it.
-                self.objects.check(self.kind, after).await?;
-                Duration::ZERO
-            }
+            let position = Position { revision, at };
+            return Ok(Step::Read(Event::All(objects, position), position));
         };
+        if self.trust == Trust::Lost {
+            // The cheap call is repeated until the store responds to it.
+            self.objects.ping(self.kind, after).await?;
+            return self.read_changes(after, Duration::ZERO).await;
+        }
+        self.read_changes(after, WATCH_DURATION).await
+    }
+
+    async fn read_changes(&self, after: Revision, wait: Duration) -> Result<Step> {
+        let at = self.proof.now();
         let Some(changes) = self.objects.watch(self.kind, after, wait).await? else {
             return Ok(Step::Relist);
         };
         let revision = changes.revision.max(after);
+        let position = Position { revision, at };
         let event = match changes.changes.is_empty() {
-            true => Event::Unchanged(revision),
-            false => Event::Changed(changes.changes, revision),
+            true => Event::Unchanged(position),
+            false => Event::Changed(changes.changes, position),
         };
-        Ok(Step::Read(event, revision))
+        Ok(Step::Read(event, position))
     }
 
-    /// Checks at intervals whether the store responds, until it knows of changes.
-    async fn check_until_missed(&self) -> Result<Step> {
+    /// Asks the store for changes whenever the last proof that there are none is too old, until
+    /// there are some.
+    async fn check_until_changed(&self) -> Result<Step> {
         let Some(mut after) = self.last_seen else { return std::future::pending().await };
-        let mut delay = FIRST_CHECK_DELAY;
+        let mut read_at = self.read_at;
         loop {
-            tokio::time::sleep(delay).await;
-            match self.objects.check(self.kind, after).await? {
-                // The next check asks from here, as the store forgets old revisions.
-                Some(unchanged_until) => after = unchanged_until,
-                None => return Ok(Step::Missed(after)),
+            self.wait_until_check(read_at).await;
+            match self.read_changes(after, Duration::ZERO).await? {
+                Step::Read(Event::Unchanged(position), _) => {
+                    // The next check asks from here, as the store forgets old revisions.
+                    after = position.revision;
+                    read_at = Some(position.at);
+                    let _ = self.events.send(Event::Unchanged(position)).await;
+                }
+                step => return Ok(step),
+            }
+        }
+    }
+
+    /// Waits until the last proof is too old. The last response of the store, to a request at
+    /// `read_at`, may not be recorded as one yet.
+    async fn wait_until_check(&self, read_at: Option<Duration>) {
+        let limit = self.objects.spread_check(self.check_interval);
+        while let Some(at) = self.proof.proven_at().max(read_at) {
+            let due = at + limit;
+            let now = self.proof.now();
+            if now >= due {
+                return;
             }
-            let _ = self.events.send(Event::Checked).await;
-            delay = self.objects.share_checks(self.check_interval);
+            tokio::time::sleep(due - now).await;
         }
     }
 }
