Tell an entry that knows nothing that a kind has no objects

With no data centre out of service there is no change, so entries that copy from relays never learned that none is. Change: an entry that has not followed a kind yet gets it.

--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -488,9 +488,11 @@
         Snapshot {
             seen,
             changed,
-            upstreams: (changed.upstreams > known.upstreams).then(|| upstreams().collect()),
-            outs: (changed.outs > known.outs).then(|| state.outs.clone()),
-            slowdowns: (changed.slowdowns > known.slowdowns).then(|| slowdowns().collect()),
+            upstreams: is_news(seen.upstreams, changed.upstreams, known.upstreams)
+                .then(|| upstreams().collect()),
+            outs: is_news(seen.outs, changed.outs, known.outs).then(|| state.outs.clone()),
+            slowdowns: is_news(seen.slowdowns, changed.slowdowns, known.slowdowns)
+                .then(|| slowdowns().collect()),
             entries: None,
         }
     }
@@ -500,7 +502,8 @@
     pub fn packed_configuration(&self, known: &Progress) -> Option<Packed> {
         let mut state = self.lock();
         let table = state.table.clone()?;
-        if state.latest_changes.configuration <= known.configuration {
+        let (seen, changed) = (state.followed.configuration, state.latest_changes.configuration);
+        if !is_news(seen, changed, known.configuration) {
             return None;
         }
         let generation = table.configuration().generation;
@@ -982,6 +985,13 @@
     }
 }
 
+/// Returns whether an entry that has followed a kind up to `known` lacks something of what one knows
+/// that has followed it up to `seen`, with its last change at `changed`. An entry that knows nothing
+/// also lacks that there are no objects.
+fn is_news(seen: Revision, changed: Revision, known: Revision) -> bool {
+    changed > known || (known == 0 && seen > 0)
+}
+
 /// Pause of an upstream that refused a request for lack of a free slot.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// Pause of a group that failed. Its registration may exclude it for longer.
