Let an entry rely on how old a relay's knowledge is, not on the relay's answers

What callers would see: requests handled by an old configuration, or sent to an upstream that has left, at entries whose relays answer but know nothing new. Cause: 'the store is available' in a relay's answer was true from its start until a call of its own failed: also of a relay that was frozen, has just started, or whose watches are lost. A relay that beats isn't up to date. Change: each message says how long ago the sender's knowledge of each kind was proven to be current; an answer repeats the time of the question, so that its age holds however long it took. An entry watches the store itself once the last proof is older than 0.55 of the bound. While the store is away, entries whose relays answer try it each 2 s at most instead of 0.5 s. 'watching' logs the ages.

--- a/crates/filberttrail-fleet/src/overlay.rs
+++ b/crates/filberttrail-fleet/src/overlay.rs
@@ -23,27 +23,45 @@
 const AVOIDED_FOR: Duration = Duration::from_millis(6_000);
 /// Time for which an entry acts as a relay after the last message to it as one.
 const ROLE_LIFETIME: Duration = Duration::from_millis(3_000);
-/// Time without an answer from any relay that the store responds to, after which an entry watches
-/// the store itself. Bounds on changes are 2 s or more, and the store answers within some tenths of
-/// a second.
-const UNSERVED_LIMIT: Duration = Duration::from_millis(1_100);
+/// Age of the last proof from a relay from which an entry watches the store itself, as a fraction of
+/// the time within which a change has to be in force. Relays check their knowledge when it is half
+/// as old as that time; the rest is for this entry's own call and for a copy of the change.
+const UNSERVED_FRACTION: f64 = 0.55;
+/// Longest delay between two attempts to reach a store that is unavailable, of an entry that other
+/// entries rely on.
+const RETRY_DELAY_LIMIT: Duration = Duration::from_millis(500);
+/// The same for an entry whose relays answer: they try the store as well, and tell when it is back.
+const RELAYED_RETRY_DELAY_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// What one entry knows of the others that relay for it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Overlay {
+    /// Age of the last proof from which this entry watches the store.
+    unserved_limit: Duration,
     /// Time of the first unanswered message to each relay.
     unanswered_since: HashMap<String, Duration>,
     avoided_until: HashMap<String, Duration>,
     /// Time of the last message to this entry as a relay.
     asked_at: Option<Duration>,
-    /// Time of the last answer from a relay to which the store responds, or of the start.
+    /// Time of the last answer from any relay.
+    answered_at: Option<Duration>,
+    /// Time at which the knowledge of a relay, and with it this entry's, was last proven to be
+    /// current, or of the start.
     served_at: Duration,
 }
 
 impl Overlay {
-    /// Creates the state of an entry that starts at `now`.
-    pub fn new(now: Duration) -> Self {
-        Self { served_at: now, ..Self::default() }
+    /// Creates the state of an entry that starts at `now`, where changes have to be in force
+    /// `apply_within` their acknowledgement.
+    pub fn new(now: Duration, apply_within: Duration) -> Self {
+        Self {
+            unserved_limit: apply_within.mul_f64(UNSERVED_FRACTION),
+            unanswered_since: HashMap::new(),
+            avoided_until: HashMap::new(),
+            asked_at: None,
+            answered_at: None,
+            served_at: now,
+        }
     }
 
     /// Returns whether entries send to each other directly and all watch the store.
@@ -86,12 +104,13 @@
         }
     }
 
-    /// Records an answer from a relay. A relay to which the store does not respond may not know the
-    /// latest changes, so it does not replace watching the store.
-    pub fn record_answer(&mut self, now: Duration, relay: &str, store_available: bool) {
-        if store_available {
-            self.served_at = now;
-        }
+    /// Records an answer from a relay, and the time at which it proves this entry's knowledge to be
+    /// current, if it does. A relay that answers may know no more than before: it was frozen, has
+    /// just started, or its own watches are lost. So its answer alone does not replace watching the
+    /// store.
+    pub fn record_answer(&mut self, now: Duration, relay: &str, proven_at: Option<Duration>) {
+        self.served_at = self.served_at.max(proven_at.unwrap_or_default());
+        self.answered_at = Some(now);
         self.unanswered_since.remove(relay);
         self.avoided_until.remove(relay);
     }
@@ -111,8 +130,22 @@
         Self::is_direct(entries) || self.is_relay(now) || self.is_unserved(now)
     }
 
-    /// Returns whether no relay has answered for so long that this entry has to watch the store.
+    /// Returns whether the last proof from a relay is so old that this entry has to watch the store.
     pub fn is_unserved(&self, now: Duration) -> bool {
-        now >= self.served_at + UNSERVED_LIMIT
+        now >= self.served_at + self.unserved_limit
+    }
+
+    /// Returns the longest delay between two attempts to reach a store that is unavailable, given
+    /// the number of entries.
+    ///
+    /// Load pattern: all 149 entries lose the store at the same moment, and each of their calls has
+    /// a price, whether it is answered or not.
+    pub fn retry_delay_limit(&self, now: Duration, entries: usize) -> Duration {
+        let is_answered = self.answered_at.is_some_and(|at| now < at + SILENCE_LIMIT);
+        if Self::is_direct(entries) || self.is_relay(now) || !is_answered {
+            RETRY_DELAY_LIMIT
+        } else {
+            RELAYED_RETRY_DELAY_LIMIT
+        }
     }
 }
--- a/crates/filberttrail-fleet/tests/overlay.rs
+++ b/crates/filberttrail-fleet/tests/overlay.rs
@@ -13,6 +13,8 @@
 const DATA_CENTRES: usize = 5;
 /// Requests per second that a cold upstream of the large deployment can handle.
 const COLD_RATE: f64 = 27.5;
+/// Time within which a change has to be in force on small deployments.
+const APPLY_BOUND: Duration = Duration::from_millis(2_000);
 const TICK: Duration = Duration::from_millis(250);
 
 fn names(prefix: &str, count: usize) -> Vec<String> {
@@ -125,8 +127,10 @@
         let names = names("entry", ENTRIES).into_iter().enumerate();
         let entries: BTreeMap<String, String> =
             names.map(|(number, name)| (name, located(number))).collect();
-        let overlays =
-            entries.keys().map(|name| (name.clone(), Overlay::new(Duration::ZERO))).collect();
+        let overlays = entries
+            .keys()
+            .map(|name| (name.clone(), Overlay::new(Duration::ZERO, APPLY_BOUND)))
+            .collect();
         Self { now: Duration::ZERO, entries, overlays }
     }
 
@@ -169,10 +173,11 @@
                     }
                     self.overlay(&relay).record_asked(now);
                     if asks && reaches(&relay, &name) {
-                        self.overlay(&name).record_answer(now, &relay, available(&relay));
+                        let proven_at = available(&relay).then_some(now);
+                        self.overlay(&name).record_answer(now, &relay, proven_at);
                     }
                     if !asks {
-                        self.overlay(&relay).record_answer(now, &name, true);
+                        self.overlay(&relay).record_answer(now, &name, Some(now));
                     }
                 }
             }
--- a/crates/filberttrail-gateway/src/currency.rs
+++ b/crates/filberttrail-gateway/src/currency.rs
@@ -2,7 +2,6 @@
 //! entries.
 
 use filberttrail_fleet::currency::{Age, Ages};
-use filberttrail_fleet::snapshot::Progress;
 use filberttrail_kernel::clock;
 use filberttrail_store::Proof;
 use std::sync::Arc;
@@ -45,17 +44,14 @@
         }
     }
 
-    /// Records the proofs of another entry. `ages` counts from the time `at`, `changed` are the last
-    /// changes that the other entry knows, and `followed` are the revisions up to which this one
-    /// has followed the store.
-    pub fn accept(&self, at: Duration, ages: &Ages, changed: &Progress, followed: &Progress) {
-        let held = ages.held_by(followed, changed);
+    /// Records proofs that another entry told, whose ages count from the time `at`.
+    pub fn record(&self, at: Duration, ages: &Ages) {
         let pairs = [
-            (&self.upstreams, held.upstreams),
-            (&self.configuration, held.configuration),
-            (&self.outs, held.outs),
-            (&self.slowdowns, held.slowdowns),
-            (&self.entries, held.entries),
+            (&self.upstreams, ages.upstreams),
+            (&self.configuration, ages.configuration),
+            (&self.outs, ages.outs),
+            (&self.slowdowns, ages.slowdowns),
+            (&self.entries, ages.entries),
         ];
         for (proof, age) in pairs {
             let proven_at =
--- a/crates/filberttrail-gateway/src/daemon.rs
+++ b/crates/filberttrail-gateway/src/daemon.rs
@@ -84,8 +84,9 @@
                 "data_centre": hub.settings.data_centre,
             }),
         );
-        let peers = Peers::new(hub.now());
-        spawn_followers(&hub, &peers, Arc::new(socket));
+        let objects = Objects::new(hub.settings.store, hub.interface.dialect);
+        let peers = Peers::new(objects.clone(), hub.now(), hub.settings.apply_within);
+        spawn_followers(&hub, &peers, &objects, Arc::new(socket));
         let current_settings = hub.settings.clone();
         tokio::spawn(reload::run(hub.journal.clone(), current_settings, reloads, reread));
         let (_close_internal, stop_internal) = watch::channel(false);
@@ -151,8 +152,12 @@
     }
 }
 
-fn spawn_followers(hub: &Arc<Hub>, peers: &Arc<Peers>, socket: Arc<UdpSocket>) {
-    let objects = Objects::new(hub.settings.store, hub.interface.dialect);
+fn spawn_followers(
+    hub: &Arc<Hub>,
+    peers: &Arc<Peers>,
+    objects: &Arc<Objects>,
+    socket: Arc<UdpSocket>,
+) {
     let wakes = &peers.wakes;
     let (upstreams, configuration) = (wakes.upstreams.clone(), wakes.configuration.clone());
     let (outs, slowdowns) = (wakes.outs.clone(), wakes.slowdowns.clone());
@@ -163,7 +168,7 @@
     tokio::spawn(follow::run_slowdowns(hub.clone(), objects.clone(), slowdowns, active()));
     tokio::spawn(verdicts::run(hub.clone(), objects.clone()));
     tokio::spawn(hub.clone().run_dispatch());
-    tokio::spawn(peers.clone().run_follow(hub.clone(), objects));
+    tokio::spawn(peers.clone().run_follow(hub.clone()));
     tokio::spawn(peers.clone().run_advertise(hub.clone(), socket.clone()));
     tokio::spawn(peers.clone().run_receive(hub.clone(), socket));
 }
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -421,13 +421,25 @@
     }
 
     /// Records what another entry's message proves. `changed` are the last changes that it knows.
-    pub fn accept_proofs(&self, ages: &Ages, changed: &Progress) {
-        // A message may have waited for as long as this process was paused.
-        if self.is_stale() {
-            return;
+    /// The ages count from the time at which this entry has asked for the message, if it has.
+    ///
+    /// Returns the time at which the knowledge whose changes have a bound was proven to be current
+    /// by the message.
+    pub fn accept_proofs(
+        &self,
+        asked_at: Option<Duration>,
+        ages: &Ages,
+        changed: &Progress,
+    ) -> Option<Duration> {
+        let now = self.now();
+        // Without a question, a message may have waited for as long as this process was paused.
+        if asked_at.is_none() && self.is_stale() {
+            return None;
         }
-        let at = self.now().saturating_sub(TRANSIT_LIMIT);
-        self.currency.accept(at, ages, changed, &self.followed_revisions());
+        let at = asked_at.unwrap_or(now.saturating_sub(TRANSIT_LIMIT)).min(now);
+        let held = ages.held_by(&self.followed_revisions(), changed);
+        self.currency.record(at, &held);
+        at.checked_sub(held.oldest_bounded()?)
     }
 
     /// Records the revision up to which a kind of object was followed, and that of its last change.
@@ -469,11 +481,6 @@
         self.lock().latest_changes
     }
 
-    /// Returns whether the store responds to this entry.
-    pub fn is_store_available(&self) -> bool {
-        self.lock().unavailable_kinds.is_empty()
-    }
-
     /// Returns the revisions up to which the store was followed.
     pub fn followed_revisions(&self) -> Progress {
         self.lock().followed
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -20,16 +20,22 @@
 pub enum Kind {
     /// The sender's own load, to an entry of a small estate.
     Load,
-    /// The sender's own load, to a relay that answers with the load of all others on the upstreams
-    /// that the sender may use.
-    Ask(Vec<IdHash>),
+    /// The sender's own load, to a relay that answers with the load of all others on the wanted
+    /// upstreams.
+    Ask {
+        /// Upstreams that the sender may use.
+        wanted: Vec<IdHash>,
+        /// Time of the sender's clock in milliseconds, which the answer repeats.
+        asked_at: u64,
+    },
     /// The answer of a relay: the load of all other entries, and the data centres from which the
     /// relay has heard, with the age of the last news in milliseconds.
     Answer {
         /// Names of the data centres, and ages.
         heard: Vec<(String, u64)>,
-        /// Whether the store responds to the relay.
-        store_available: bool,
+        /// Time of the question. The ages of the answer's proofs count from it at the asker, however
+        /// long the answer took.
+        asked_at: u64,
     },
     /// The load of all entries of the sender's data centre, to a relay of another one.
     Sum {
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -111,6 +111,7 @@
     /// Whether this entry watches the store, and whether it watches the entries.
     watching: watch::Sender<bool>,
     watching_entries: watch::Sender<bool>,
+    objects: Arc<Objects>,
     /// Notifications that interrupt the pending watches of the store.
     pub wakes: WatchWakes,
     client: Client,
@@ -134,15 +135,16 @@
 
 impl Peers {
     /// Creates the state of an entry that knows no others.
-    pub fn new(now: Duration) -> Arc<Self> {
+    pub fn new(objects: Arc<Objects>, now: Duration, apply_within: Duration) -> Arc<Self> {
         let (watching, _) = watch::channel(false);
         let (watching_entries, _) = watch::channel(true);
         Arc::new(Self {
             entries: Mutex::default(),
-            overlay: Mutex::new(Overlay::new(now)),
+            overlay: Mutex::new(Overlay::new(now, apply_within)),
             sums: Mutex::default(),
             watching,
             watching_entries,
+            objects,
             wakes: WatchWakes::default(),
             client: Client::new(),
             lag: Mutex::default(),
@@ -162,8 +164,8 @@
         self.overlay.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Starts or stops watching the store, depending on the number of entries and on whether relays
-    /// answer.
+    /// Starts or stops watching the store, depending on the number of entries and on the age of what
+    /// relays prove.
     fn update_watching(&self, hub: &Hub) {
         let entries = self.entries().len();
         let now = hub.now();
@@ -174,10 +176,17 @@
             sender.send_if_modified(|current| std::mem::replace(current, value) != value)
         };
         if set(&self.watching, watches) {
-            let fields = json!({ "watching": watches, "entries": entries });
+            let ages = hub.currency.ages();
+            let fields = json!({
+                "watching": watches, "entries": entries, "relays": self.overlay().is_relay(now),
+                "configuration_age_ms": ages.configuration, "upstreams_age_ms": ages.upstreams,
+                "outs_age_ms": ages.outs,
+            });
             hub.journal.record(Priority::Important, "watching", fields);
         }
         set(&self.watching_entries, watches || entries == 0);
+        let limit = self.overlay().retry_delay_limit(now, entries.max(1));
+        self.objects.set_retry_delay_limit(limit);
     }
 
     /// Advertises this entry's load and revisions to the others, and removes expired state, until
@@ -247,7 +256,8 @@
             relays.reverse();
         }
         let wanted = hub.subset_upstreams(message::UPSTREAMS_LIMIT);
-        send_to(&relays, &build_message(hub, Kind::Ask(wanted), hub.own_loads()));
+        let ask = Kind::Ask { wanted, asked_at: now.as_millis() as u64 };
+        send_to(&relays, &build_message(hub, ask, hub.own_loads()));
         if !self.overlay().is_relay(now) {
             return;
         }
@@ -278,7 +288,6 @@
             match ciborium::from_reader::<Message, _>(&buffer[..length]) {
                 Ok(message) => {
                     let changed = message.changed;
-                    hub.accept_proofs(&message.ages, &changed);
                     self.receive(&hub, message, &socket, from);
                     self.catch_up(&hub, &changed, from);
                 }
@@ -292,18 +301,23 @@
 
     fn receive(&self, hub: &Hub, message: Message, socket: &UdpSocket, from: SocketAddr) {
         let now = hub.now();
-        let Message { kind, entry, data_centre, loads, leaving, blame, verdicts_known, .. } =
+        let Message { kind, entry, data_centre, loads, changed, ages, leaving, blame, .. } =
             message;
+        let asked_at = match kind {
+            Kind::Answer { asked_at, .. } => Some(Duration::from_millis(asked_at)),
+            _ => None,
+        };
+        let proven_at = hub.accept_proofs(asked_at, &ages, &changed);
         hub.receive_leaving(&leaving);
         let pass_on = !Overlay::is_direct(self.entries().len());
         hub.blame.receive(&blame, pass_on);
-        if verdicts_known {
+        if message.verdicts_known {
             hub.note_verdicts_known();
         }
         hub.record_heard(&data_centre, Duration::ZERO);
         match kind {
             Kind::Load => hub.receive_load(&entry, loads),
-            Kind::Ask(wanted) => {
+            Kind::Ask { wanted, asked_at } => {
                 self.overlay().record_asked(now);
                 hub.receive_load(RELAYED, Vec::new());
                 hub.receive_load(&entry, loads);
@@ -311,13 +325,13 @@
                 sums.extend(hub.own_loads().into_iter().filter(|(hash, _)| wanted.contains(hash)));
                 let heard = hub.heard().into_iter();
                 let heard = heard.map(|(name, age)| (name, age.as_millis() as u64)).collect();
-                let kind = Kind::Answer { heard, store_available: hub.is_store_available() };
+                let kind = Kind::Answer { heard, asked_at };
                 if let Some(encoded) = encode(&build_message(hub, kind, sums)) {
                     send(socket, &encoded, from);
                 }
             }
-            Kind::Answer { heard, store_available } => {
-                self.overlay().record_answer(now, &entry, store_available);
+            Kind::Answer { heard, .. } => {
+                self.overlay().record_answer(now, &entry, proven_at);
                 for (name, age_ms) in heard {
                     hub.record_heard(&name, Duration::from_millis(age_ms));
                 }
@@ -328,7 +342,7 @@
             Kind::Sum { entries } => {
                 let mut overlay = self.overlay();
                 overlay.record_asked(now);
-                overlay.record_answer(now, &entry, false);
+                overlay.record_answer(now, &entry, None);
                 drop(overlay);
                 if self.accept_sum(now, &data_centre, &entry, entries) {
                     hub.receive_load(&format!("{DATA_CENTRE_PREFIX}{data_centre}"), loads);
@@ -475,7 +489,8 @@
     }
 
     /// Registers this entry and follows the registrations of the others.
-    pub async fn run_follow(self: Arc<Self>, hub: Arc<Hub>, objects: Arc<Objects>) {
+    pub async fn run_follow(self: Arc<Self>, hub: Arc<Hub>) {
+        let objects = self.objects.clone();
         register(&hub, &objects).await;
         if hub.settings.first_start {
             tokio::time::sleep(FIRST_START_DELAY).await;
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{Mutex, Notify, OwnedMutexGuard, mpsc, watch};
 
@@ -24,6 +24,9 @@
 /// The range of the random delay of a check, relative to its interval. In the shortest range, 0.5 s, a
 /// proof reaches the other processes several times.
 const CHECK_SPREAD: f64 = 1.0;
+/// The maximum delay before a retry, unless another is set: a recovered store has to be detected
+/// within 1 s.
+const RETRY_DELAY_LIMIT_MS: u64 = 500;
 /// The maximum size of a response body, in bytes.
 const RESPONSE_LIMIT: usize = 8 << 20;
 /// The maximum number of events that wait for the receiver.
@@ -139,6 +142,8 @@
     era: watch::Sender<Option<u64>>,
     /// The number of processes that check their watches and report changes to each other.
     checkers: AtomicU32,
+    /// The maximum delay before a retry, in milliseconds.
+    retry_delay_limit_ms: AtomicU64,
     /// Held by the one that probes the store while it is unavailable.
     probe: Arc<Mutex<()>>,
     /// Notifies of successful calls.
@@ -165,7 +170,18 @@
         let checkers = AtomicU32::new(1);
         let (succeeded, _) = watch::channel(());
         let client = Client::new();
-        Arc::new(Self { address, dialect, client, era, checkers, probe: Arc::default(), succeeded })
+        let retry_delay_limit_ms = AtomicU64::new(RETRY_DELAY_LIMIT_MS);
+        let probe = Arc::default();
+        Arc::new(Self {
+            address,
+            dialect,
+            client,
+            era,
+            checkers,
+            retry_delay_limit_ms,
+            probe,
+            succeeded,
+        })
     }
 
     /// Returns the store's era as of the last response; `None` before the first one. The era rises
@@ -325,6 +341,16 @@
         self.checkers.store(checkers, Ordering::Relaxed);
     }
 
+    /// Sets the maximum delay before a failed request is repeated.
+    pub fn set_retry_delay_limit(&self, limit: Duration) {
+        let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        self.retry_delay_limit_ms.store(limit_ms, Ordering::Relaxed);
+    }
+
+    pub(crate) fn retry_delay_limit(&self) -> Duration {
+        Duration::from_millis(self.retry_delay_limit_ms.load(Ordering::Relaxed))
+    }
+
     /// Returns the age of a proof from which this process checks, of which `interval` is the
     /// shortest. It is random, so that one process checks before the others and spares them theirs:
     /// the more there are, the more of them draw a long delay.
--- a/crates/filberttrail-store/src/watcher.rs
+++ b/crates/filberttrail-store/src/watcher.rs
@@ -21,10 +21,8 @@
 /// random, because all processes receive a change at the same time: watches that are sent at the
 /// same time can be lost together.
 const BATCH_DELAY_LIMIT: Duration = Duration::from_millis(400);
-/// The initial delay before a retry, doubled after each failure up to [`RETRY_DELAY_LIMIT`].
+/// The initial delay before a retry, doubled after each failure up to the limit that is set.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The maximum delay before a retry: a recovered store has to be detected within 1 s.
-const RETRY_DELAY_LIMIT: Duration = Duration::from_millis(500);
 
 /// What is known about the store's responses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,7 +115,7 @@
                     if probe.is_some() {
                         tokio::time::sleep(jitter(delay)).await;
                     }
-                    delay = (delay * 2).min(RETRY_DELAY_LIMIT);
+                    delay = (delay * 2).min(self.objects.retry_delay_limit());
                 }
             }
         }
