Forget an outage of the store when an entry stops watching it

What callers would see: requests to upstreams that have left, for as long as the process runs. Cause: an entry of a large estate that watched the store only while it was away kept it marked as lost when its relays served it again, and so kept each upstream whose registration was removed. Change: the end of watching is an event, after which the mark is removed.

--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -226,7 +226,7 @@
             hub.record_store_state(kind, Some(error));
             return None;
         }
-        Event::Regained => {
+        Event::Regained | Event::Unwatched => {
             hub.record_store_state(kind, None);
             return None;
         }
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -120,6 +120,8 @@
     Lost(String),
     /// The store responds again.
     Regained,
+    /// The store failed to respond last, and is not asked any more.
+    Unwatched,
 }
 
 /// The result of a conditional write.
--- a/crates/filberttrail-store/src/watcher.rs
+++ b/crates/filberttrail-store/src/watcher.rs
@@ -78,6 +78,12 @@
         let mut era = self.objects.subscribe_era();
         while !self.events.is_closed() {
             let seen_era = self.last_seen.map(revision::era);
+            let is_active = *active.borrow();
+            if !is_active && self.trust == Trust::Lost {
+                // What it last saw of the store says nothing while it asks for nothing.
+                self.trust = Trust::Responding;
+                let _ = self.events.send(Event::Unwatched).await;
+            }
             // Closing the channel leaves the last value in force.
             let _ = active.wait_for(|active| *active).await;
             let mut inactive = active.clone();
