Send an upstream no more than the limit that it names, summed over all entries

Cause: nobody read Server-Limit. Class: a wish to be sent less that is not heard; leaving and pauses were, so all three are now one type, fleet::Intake, which moves them out of hub.rs. Ruled out: buckets of one an entry (149 of them), sums told between entries (a message old). Change: each entry gets whole requests of the limit by its rank in the upstream's subset, so that the shares add up to it; first tries, retries, resumed streams and trials draw from the same share. An answer to a request sent before the limit was named can't lift or raise it; the end is a ramp; limits travel between entries. What doesn't fit is refused at once with the time at which the share opens. Also: what an answer says is ignored if another upstream gave it at the address.

--- a/crates/filberttrail-fleet/src/balance.rs
+++ b/crates/filberttrail-fleet/src/balance.rs
@@ -38,6 +38,8 @@
     pub outs: &'a [String],
     /// Ids of the upstreams that must not be chosen again.
     pub tried: &'a [String],
+    /// Number of entries that share the limits that upstreams name.
+    pub entries: usize,
     /// Limit on the requests that this entry sends to one upstream within a second.
     pub max_sends_per_second: Option<usize>,
     /// Fraction of its slots up to which an upstream is filled.
@@ -71,10 +73,11 @@
     constraints: &Constraints<'_>,
     mut draw: impl FnMut() -> f64,
 ) -> Option<&'a mut Candidate> {
+    let Constraints { now, entries, .. } = *constraints;
     let candidates: Vec<&mut Candidate> = candidates
         .filter(|candidate| candidate.upstream.service == constraints.service)
         .filter(|candidate| is_usable(candidate, constraints.outs, constraints.tried))
-        .filter(|candidate| !candidate.declines(constraints.now))
+        .filter_map(|candidate| candidate.intake.is_open(now, entries).then_some(candidate))
         .collect();
     let any_unpaused =
         candidates.iter().any(|candidate| !candidate.health.is_paused(constraints.now));
--- a/crates/filberttrail-fleet/src/candidate.rs
+++ b/crates/filberttrail-fleet/src/candidate.rs
@@ -1,7 +1,7 @@
 //! An upstream as a candidate for requests, with what this entry has observed of it.
 
 use crate::upstream::State;
-use crate::{Health, Upstream, Window};
+use crate::{Health, Intake, Upstream, Window};
 use std::time::Duration;
 
 /// Span over which sends are counted for the rate limit that protects cold upstreams.
@@ -25,10 +25,8 @@
     /// Whether the registration disappeared while the store was unavailable or had just
     /// recovered.
     pub missing: bool,
-    /// Whether the upstream has said that it is about to stop. It stays so for its incarnation.
-    pub leaving: bool,
-    /// Time until which the upstream wants no requests from this entry.
-    pub declined_until: Duration,
+    /// How much the upstream takes of this entry.
+    pub intake: Intake,
     /// Whether another upstream has responded at this one's address.
     pub replaced: bool,
     /// Time of the last event of a stream from the upstream.
@@ -53,8 +51,7 @@
             recent_sends: Window::new(SEND_RATE_SPAN),
             in_subset: true,
             missing: false,
-            leaving: false,
-            declined_until: Duration::ZERO,
+            intake: Intake::new(),
             replaced: false,
             last_event: None,
             event_interval: None,
@@ -68,8 +65,7 @@
         self.missing = false;
         self.replaced = false;
         if upstream.incarnation != self.upstream.incarnation {
-            self.leaving = false;
-            self.declined_until = Duration::ZERO;
+            self.intake.reset();
             self.health = Health::new();
             self.event_interval = None;
             self.slowdown = 1.0;
@@ -82,15 +78,10 @@
         self.own_requests.saturating_add(self.peer_requests)
     }
 
-    /// Returns whether the upstream has asked this entry for a pause that lasts at `now`.
-    pub fn declines(&self, now: Duration) -> bool {
-        now < self.declined_until
-    }
-
     /// Returns whether the upstream, and its group if it has one, accepts new requests.
     pub fn accepts_requests(&self) -> bool {
         self.upstream.state == State::Ready
-            && !self.leaving
+            && !self.intake.leaving
             && self.upstream.rank.as_ref().is_none_or(|rank| rank.open)
     }
 }
--- a/crates/filberttrail-fleet/src/subset.rs
+++ b/crates/filberttrail-fleet/src/subset.rs
@@ -39,7 +39,12 @@
 /// are hashes of names, and `entries` has those of all entries. Every entry with the same list gets
 /// the same answer, and a change of the list by one entry changes one member of a subset at most.
 pub fn is_member(entry: u64, entries: &[u64], upstream: u64, members: usize) -> bool {
+    rank(entry, entries, upstream) < members
+}
+
+/// Returns the number of entries that come before this one in the order in which the subset of an
+/// upstream is chosen. All arguments are hashes of names.
+pub fn rank(entry: u64, entries: &[u64], upstream: u64) -> usize {
     let own = mix(entry, upstream);
-    let ahead = entries.iter().filter(|other| mix(**other, upstream) > own);
-    ahead.take(members).count() < members
+    entries.iter().filter(|other| mix(**other, upstream) > own).count()
 }
--- a/crates/filberttrail-fleet/src/window.rs
+++ b/crates/filberttrail-fleet/src/window.rs
@@ -28,6 +28,14 @@
         self.timestamps.len()
     }
 
+    /// Returns the time from which fewer than `limit` events are counted: `now` or before if it is so
+    /// already. `limit` is at least 1.
+    pub fn opens_at(&mut self, now: Duration, limit: usize) -> Duration {
+        self.remove_expired(now);
+        let blocking = self.timestamps.len().checked_sub(limit);
+        blocking.map_or(Duration::ZERO, |index| self.timestamps[index] + self.span)
+    }
+
     /// Returns the length of the window.
     pub fn span(&self) -> Duration {
         self.span
--- a/crates/filberttrail-fleet/tests/load.rs
+++ b/crates/filberttrail-fleet/tests/load.rs
@@ -44,6 +44,7 @@
 
 fn constraints(now: Duration) -> Constraints<'static> {
     Constraints {
+        entries: 1,
         service: "draft",
         now,
         local_data_centre: "north",
--- a/crates/filberttrail-gateway/src/exchange.rs
+++ b/crates/filberttrail-gateway/src/exchange.rs
@@ -56,13 +56,19 @@
         return Err(Failed::Unsent("no time is left".to_string()));
     }
     let request = build_request(hub, permit, caller_request, after_event, time_left);
+    let sent_at = hub.now();
     let exchange = exchange(hub, permit, request, time_left);
     let response = match tokio::time::timeout(timeout.min(time_left), exchange).await {
         Ok(response) => response?,
         Err(_) => return Err(Failed::Silent),
     };
     let Parts { status, headers, .. } = &response.head;
-    hub.record_signals(permit, Signals::read(*status, headers, &hub.interface.headers));
+    let names = &hub.interface.headers;
+    let sender = headers.get(&names.responding_upstream);
+    // Another upstream may respond at the address. What it says is not about this one.
+    if sender.is_none_or(|sender| sender.as_bytes() == permit.id.as_bytes()) {
+        hub.record_signals(permit, sent_at, Signals::read(*status, headers, names));
+    }
     let reused = response.connection.used;
     check_response(hub, caller_request, &permit.id, reused, &response.head).map(|()| response)
 }
--- a/crates/filberttrail-gateway/src/headers.rs
+++ b/crates/filberttrail-gateway/src/headers.rs
@@ -28,6 +28,8 @@
     pub urgency: HeaderName,
     /// Present on every response of an upstream that is about to stop, with the value `1`.
     pub leaving: HeaderName,
+    /// Requests per second that a responding upstream in need takes from all entries together.
+    pub limit: HeaderName,
     /// The parts of a request's prompt, in order.
     pub prompt: HeaderName,
     /// Load of the responding upstream: requests running, requests waiting, and slots.
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -10,7 +10,6 @@
 use crate::packed::Packed;
 use crate::permit::Permit;
 use crate::queue_guard::QueueGuard;
-use crate::signals::Signals;
 use crate::slot_request::{Refusal, SlotRequest};
 use crate::state::{DEPARTED_RETENTION, RESTORE_GRACE, State, is_partitioned};
 use crate::{Interface, Settings};
@@ -38,7 +37,7 @@
 /// the outage.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 /// Number of entries assumed until the store has reported it.
-const ASSUMED_ENTRIES: u32 = 32;
+pub(crate) const ASSUMED_ENTRIES: u32 = 32;
 /// Time after which a data centre is forgotten whose entries send no more messages.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// Fraction of its slots up to which this entry fills an upstream.
@@ -47,9 +46,7 @@
 const REFRESH_POLL: Duration = Duration::from_millis(10);
 /// Time that a message between entries may take. Longer delays add to the age of what it proves, and
 /// entries behind links that delay messages longer are not expected to apply changes in time.
-const TRANSIT_LIMIT: Duration = Duration::from_millis(100);
-/// Maximum number of leaving upstreams in a message to other entries.
-const LEAVING_LIMIT: usize = 64;
+pub(crate) const TRANSIT_LIMIT: Duration = Duration::from_millis(100);
 /// A request counts as a caller's retry if its time left is below this fraction of the longest one
 /// seen on its route.
 const FULL_TIMEOUT_FRACTION: f64 = 0.97;
@@ -124,7 +121,7 @@
         self.clock.now()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -701,16 +698,7 @@
                 return Err(Refusal { cause: "no upstream", retry_after });
             }
             let all_tried = !any_usable(&slot_request.admission.tried);
-            let declined_until = state
-                .candidates
-                .values()
-                .filter(|candidate| candidate.upstream.service == slot_request.service)
-                .filter(|candidate| {
-                    balance::is_usable(candidate, &state.outs, &slot_request.admission.tried)
-                })
-                .map(|candidate| candidate.declined_until)
-                .min();
-            if let Some(until) = declined_until.filter(|until| now < *until)
+            if let Some(until) = state.opens_at(now, &slot_request).filter(|until| now < *until)
                 && let Some(retry_after) =
                     admission::refuse_declined(now, until, &slot_request.admission, fastrand::f64())
             {
@@ -795,53 +783,6 @@
         }
     }
 
-    /// Records what a response tells about its upstream. Ignored if another incarnation has
-    /// registered in the meantime.
-    pub fn record_signals(&self, permit: &Permit, signals: Signals) {
-        if signals == Signals::default() {
-            return;
-        }
-        let now = self.now();
-        let mut state = self.lock();
-        let Some(candidate) = state.candidates.get_mut(&permit.id) else { return };
-        if candidate.upstream.incarnation != permit.incarnation {
-            return;
-        }
-        if let Some(pause) = signals.declines_for {
-            candidate.declined_until = candidate.declined_until.max(now + pause);
-        }
-        let news = signals.leaving && !std::mem::replace(&mut candidate.leaving, signals.leaving);
-        drop(state);
-        if news || signals.declines_for.is_some() {
-            let fields = json!({
-                "upstream": permit.id, "leaving": signals.leaving,
-                "declines_for_ms": signals.declines_for.map(|pause| pause.as_millis() as u64),
-            });
-            self.journal.record(Priority::Important, "upstream_signals", fields);
-        }
-    }
-
-    /// Returns the upstreams that have said that they are about to stop, with their incarnations.
-    pub fn leaving_upstreams(&self) -> Vec<(IdHash, upstream::Incarnation)> {
-        let state = self.lock();
-        let leaving = state.candidates.values().filter(|candidate| candidate.leaving);
-        let ids = leaving.map(|candidate| &candidate.upstream);
-        ids.map(|upstream| (hash_id(&upstream.id), upstream.incarnation))
-            .take(LEAVING_LIMIT)
-            .collect()
-    }
-
-    /// Records which upstreams another entry knows to be about to stop.
-    pub fn receive_leaving(&self, leaving: &[(IdHash, upstream::Incarnation)]) {
-        if leaving.is_empty() {
-            return;
-        }
-        for candidate in self.lock().candidates.values_mut() {
-            let Upstream { id, incarnation, .. } = &candidate.upstream;
-            candidate.leaving |= leaving.contains(&(hash_id(id), *incarnation));
-        }
-    }
-
     /// Pauses all ranks of an upstream's group for a short time and marks them as suspect.
     pub fn pause_group(&self, id: &str) {
         let until = self.now() + GROUP_PAUSE;
@@ -920,6 +861,7 @@
             local_data_centre,
             outs: &outs,
             tried,
+            entries: state.entries.unwrap_or(ASSUMED_ENTRIES) as usize,
             max_sends_per_second,
             max_utilisation: UTILISATION_LIMIT,
         };
@@ -927,6 +869,7 @@
             balance::choose(state.candidates.values_mut(), &constraints, fastrand::f64)?;
         candidate.own_requests += 1;
         candidate.recent_sends.record(now);
+        candidate.intake.record_send(now);
         Some(Permit::new(self.clone(), &candidate.upstream))
     }
 
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod headers;
 pub mod hub;
 pub mod id_hash;
+pub mod intake;
 pub mod interface;
 pub mod memory;
 pub mod message;
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between entries, in one datagram each.
 
 use crate::id_hash::IdHash;
+use crate::intake::Told;
 use filberttrail_fleet::blame::Report;
 use filberttrail_fleet::currency::Ages;
 use filberttrail_fleet::snapshot::Progress;
@@ -62,6 +63,9 @@
     pub ages: Ages,
     /// Upstreams that have said that they are about to stop, with their incarnations.
     pub leaving: Vec<(IdHash, upstream::Incarnation)>,
+    /// Limits that upstreams have named.
+    #[serde(default)]
+    pub limits: Vec<Told>,
     /// Prompt parts that are blamed for crashes.
     #[serde(default)]
     pub blame: Report,
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -309,6 +309,7 @@
         };
         let proven_at = hub.accept_proofs(asked_at, &ages, &changed);
         hub.receive_leaving(&leaving);
+        hub.receive_limits(&message.limits);
         let pass_on = !Overlay::is_direct(self.entries().len());
         hub.blame.receive(&blame, pass_on);
         if message.verdicts_known {
@@ -540,6 +541,7 @@
         changed: hub.latest_changes(),
         ages: hub.currency.ages(),
         leaving: hub.leaving_upstreams(),
+        limits: hub.told_limits(),
         blame: hub.blame.report(),
         verdicts_known: hub.knows_verdicts(),
     }
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -1,12 +1,16 @@
 //! The part of a hub's state that its lock protects.
 
+use crate::hub::ASSUMED_ENTRIES;
 use crate::id_hash::{IdHash, hash_id};
 use crate::packed::Packed;
 use crate::permit::Permit;
+use crate::slot_request::SlotRequest;
 use filberttrail_fleet::configuration::Generation;
 use filberttrail_fleet::snapshot::Progress;
 use filberttrail_fleet::subset::{self, Share};
-use filberttrail_fleet::{Admission, Budget, Candidate, Freshness, Loads, Table, upstream};
+use filberttrail_fleet::{
+    Admission, Budget, Candidate, Freshness, Loads, Table, balance, upstream,
+};
 use filberttrail_kernel::digest::stable_hash;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -52,6 +56,8 @@
     pub longest_timeouts: HashMap<String, Duration>,
     /// Number of entries that share the budgets, once it is known.
     pub entries: Option<u32>,
+    /// Position in the list of limits from which the next message tells some.
+    pub told_limits: usize,
     /// Hashes of the names of all entries.
     pub entry_hashes: Vec<u64>,
     /// Loads that other entries reported.
@@ -87,6 +93,18 @@
         self.table.is_some() && self.upstreams_known && self.outs_known && self.verdicts_known
     }
 
+    /// Returns the time from which a usable upstream takes a request, `now` or before if one does.
+    /// `None` if none is usable.
+    pub(crate) fn opens_at(&mut self, now: Duration, request: &SlotRequest) -> Option<Duration> {
+        let entries = self.entries.unwrap_or(ASSUMED_ENTRIES) as usize;
+        let Self { candidates, outs, .. } = self;
+        let usable = candidates.values_mut().filter(|candidate| {
+            candidate.upstream.service == request.service
+                && balance::is_usable(candidate, outs, &request.admission.tried)
+        });
+        usable.map(|candidate| candidate.intake.opens_at(now, entries)).min()
+    }
+
     /// Adds a candidate with the load that other entries have reported for it.
     pub(crate) fn insert_candidate(&mut self, candidate: Candidate) {
         let id = candidate.upstream.id.clone();
@@ -123,10 +141,11 @@
         let Some(table) = table else { return };
         for candidate in candidates.values_mut() {
             let share = share(table, &candidate.upstream.service);
-            candidate.in_subset = share.and_then(|share| share.members).is_none_or(|members| {
-                let upstream = stable_hash(candidate.upstream.id.as_bytes());
-                subset::is_member(entry, entry_hashes, upstream, members)
-            });
+            let upstream = stable_hash(candidate.upstream.id.as_bytes());
+            let rank = subset::rank(entry, entry_hashes, upstream);
+            let members = share.and_then(|share| share.members);
+            candidate.in_subset = members.is_none_or(|members| rank < members);
+            candidate.intake.set_rank(rank);
         }
     }
 }
