Let entries that copy from a relay drop upstreams that lapsed in an outage

What callers would see: requests to upstreams that are gone for good, at all entries but the relays. Cause: a relay keeps such upstreams until 2 s after the outage and then drops them without any change in the store, so the entries that had copied them heard nothing. Found while looking for what else a follower holds without evidence of its own.

--- a/crates/filberttrail-fleet/src/snapshot.rs
+++ b/crates/filberttrail-fleet/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! The state that an entry has read from the store, as it sends it to entries that cannot reach the
 //! store.
 
-use crate::Upstream;
+use crate::{Upstream, upstream};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -65,6 +65,10 @@
     pub changed: Progress,
     /// All registered upstreams.
     pub upstreams: Option<Vec<Upstream>>,
+    /// Those of the upstreams whose registration was missing after an outage of the store, and which
+    /// are kept for a while.
+    #[serde(default)]
+    pub missing: Vec<upstream::Id>,
     /// The data centres that are out of service.
     pub outs: Option<Vec<String>>,
     /// The slowdown factors of slow upstreams, by address.
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -366,6 +366,21 @@
         self.journal.record(Priority::Important, "upstream_gone", fields);
     }
 
+    /// Marks upstreams as missing that another entry keeps although their registration disappeared.
+    fn mark_missing(&self, ids: &[upstream::Id]) {
+        if ids.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        // The other entry has seen the end of an outage that this one has not.
+        state.upstreams_regained_at = self.now();
+        for id in ids {
+            if let Some(candidate) = state.candidates.get_mut(id) {
+                candidate.missing = true;
+            }
+        }
+    }
+
     /// Records that the store became unavailable for a kind of object, with the error, or available
     /// again.
     pub fn record_store_state(&self, kind: &'static str, error: Option<String>) {
@@ -388,12 +403,7 @@
         if !state.unavailable_kinds.contains(self.interface.upstreams)
             && now > state.upstreams_regained_at + LAPSE_GRACE
         {
-            let expired_ids: Vec<upstream::Id> = state
-                .candidates
-                .values()
-                .filter(|candidate| candidate.missing)
-                .map(|candidate| candidate.upstream.id.clone())
-                .collect();
+            let expired_ids = state.missing_upstreams();
             for id in &expired_ids {
                 state.remove_candidate(id);
             }
@@ -494,6 +504,7 @@
             changed,
             upstreams: is_news(seen.upstreams, changed.upstreams, known.upstreams)
                 .then(|| upstreams().collect()),
+            missing: state.missing_upstreams(),
             outs: is_news(seen.outs, changed.outs, known.outs).then(|| state.outs.clone()),
             slowdowns: is_news(seen.slowdowns, changed.slowdowns, known.slowdowns)
                 .then(|| slowdowns().collect()),
@@ -535,7 +546,7 @@
 
     /// Takes over those parts of another entry's snapshot that are newer.
     pub fn merge_snapshot(&self, snapshot: Snapshot, configuration: Option<Configuration>) {
-        let Snapshot { seen, changed, upstreams, outs, slowdowns, .. } = snapshot;
+        let Snapshot { seen, changed, upstreams, missing, outs, slowdowns, .. } = snapshot;
         let own = self.followed_revisions();
         self.note_restore(&mut self.lock(), own.upstreams, seen.upstreams);
         if seen.configuration > own.configuration
@@ -547,6 +558,7 @@
             && let Some(upstreams) = upstreams
         {
             self.set_upstreams(upstreams);
+            self.mark_missing(&missing);
         }
         if seen.slowdowns > own.slowdowns
             && let Some(slowdowns) = slowdowns
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -105,6 +105,12 @@
         usable.map(|candidate| candidate.intake.opens_at(now, entries)).min()
     }
 
+    /// Returns the upstreams that are kept although their registration disappeared.
+    pub(crate) fn missing_upstreams(&self) -> Vec<upstream::Id> {
+        let missing = self.candidates.values().filter(|candidate| candidate.missing);
+        missing.map(|candidate| candidate.upstream.id.clone()).collect()
+    }
+
     /// Adds a candidate with the load that other entries have reported for it.
     pub(crate) fn insert_candidate(&mut self, candidate: Candidate) {
         let id = candidate.upstream.id.clone();
