--- a/crates/filberttrail-gateway/src/currency.rs
+++ b/crates/filberttrail-gateway/src/currency.rs
@@ -1,7 +1,10 @@
 //! The proofs that this entry's knowledge of the store is current: its own calls and those of other
 //! entries.
 
+use crate::Hub;
+use crate::hub::TRANSIT_LIMIT;
 use filberttrail_fleet::currency::{Age, Ages};
+use filberttrail_fleet::snapshot::Progress;
 use filberttrail_kernel::clock;
 use filberttrail_store::Proof;
 use std::sync::Arc;
@@ -62,3 +65,27 @@
         }
     }
 }
+
+impl Hub {
+    /// Records what another entry's message proves. `changed` are the last changes that it knows.
+    /// The ages count from the time at which this entry has asked for the message, if it has.
+    ///
+    /// Returns the time at which the knowledge whose changes have a bound was proven to be current
+    /// by the message.
+    pub fn accept_proofs(
+        &self,
+        asked_at: Option<Duration>,
+        ages: &Ages,
+        changed: &Progress,
+    ) -> Option<Duration> {
+        let now = self.now();
+        // Without a question, a message may have waited for as long as this process was paused.
+        if asked_at.is_none() && self.is_stale() {
+            return None;
+        }
+        let at = asked_at.unwrap_or(now.saturating_sub(TRANSIT_LIMIT)).min(now);
+        let held = ages.held_by(&self.followed_revisions(), changed);
+        self.currency.record(at, &held);
+        at.checked_sub(held.oldest_bounded()?)
+    }
+}
--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -226,10 +226,14 @@
             hub.record_store_state(kind, Some(error));
             return None;
         }
-        Event::Regained | Event::Unwatched => {
+        Event::Regained => {
             hub.record_store_state(kind, None);
             return None;
         }
+        Event::Unwatched => {
+            hub.record_store_unwatched(kind);
+            return None;
+        }
     };
     let seen = position.revision;
     hub.record_progress(kind, pick, seen, changed.unwrap_or_default().min(seen));
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -7,7 +7,6 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::outcome::Outcome;
-use crate::packed::Packed;
 use crate::permit::Permit;
 use crate::queue_guard::QueueGuard;
 use crate::slot_request::{Refusal, SlotRequest};
@@ -15,18 +14,17 @@
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
 use filberttrail_fleet::blame::{PartId, TRIAL_ENTRIES};
-use filberttrail_fleet::currency::Ages;
-use filberttrail_fleet::snapshot::{Progress, Revision, Snapshot};
+use filberttrail_fleet::snapshot::{Progress, Revision};
 use filberttrail_fleet::subset::{self, Share};
 use filberttrail_fleet::upstream::{self, Upstream};
-use filberttrail_fleet::{Budget, Candidate, Configuration, Loads, Table, balance};
+use filberttrail_fleet::{Budget, Candidate, Loads, Table, balance};
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::revision;
 use serde_json::json;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -279,7 +277,7 @@
     }
 
     /// Records that the store was restored, if `seen` is of a later era than `previous`.
-    fn note_restore(&self, state: &mut State, previous: Revision, seen: Revision) {
+    pub(crate) fn note_restore(&self, state: &mut State, previous: Revision, seen: Revision) {
         if previous == 0 || revision::era(seen) <= revision::era(previous) {
             return;
         }
@@ -366,21 +364,6 @@
         self.journal.record(Priority::Important, "upstream_gone", fields);
     }
 
-    /// Marks upstreams as missing that another entry keeps although their registration disappeared.
-    fn mark_missing(&self, ids: &[upstream::Id]) {
-        if ids.is_empty() {
-            return;
-        }
-        let mut state = self.lock();
-        // The other entry has seen the end of an outage that this one has not.
-        state.upstreams_regained_at = self.now();
-        for id in ids {
-            if let Some(candidate) = state.candidates.get_mut(id) {
-                candidate.missing = true;
-            }
-        }
-    }
-
     /// Records that the store became unavailable for a kind of object, with the error, or available
     /// again.
     pub fn record_store_state(&self, kind: &'static str, error: Option<String>) {
@@ -396,6 +379,18 @@
         self.journal.record(Priority::Important, event, json!({ "kind": kind, "fault": error }));
     }
 
+    /// Records that this entry no longer asks the store for a kind of object, which it could not
+    /// reach last. What relays tell counts from now on.
+    pub fn record_store_unwatched(&self, kind: &'static str) {
+        let now = self.now();
+        let mut state = self.lock();
+        if state.unavailable_kinds.remove(kind) && kind == self.interface.upstreams {
+            state.upstreams_regained_at = now;
+        }
+        drop(state);
+        self.journal.record(Priority::Important, "store_unwatched", json!({ "kind": kind }));
+    }
+
     /// Removes upstreams, peer reports and idle connections that have expired.
     pub fn remove_expired(&self) {
         let now = self.now();
@@ -427,28 +422,6 @@
         self.request_dispatch();
     }
 
-    /// Records what another entry's message proves. `changed` are the last changes that it knows.
-    /// The ages count from the time at which this entry has asked for the message, if it has.
-    ///
-    /// Returns the time at which the knowledge whose changes have a bound was proven to be current
-    /// by the message.
-    pub fn accept_proofs(
-        &self,
-        asked_at: Option<Duration>,
-        ages: &Ages,
-        changed: &Progress,
-    ) -> Option<Duration> {
-        let now = self.now();
-        // Without a question, a message may have waited for as long as this process was paused.
-        if asked_at.is_none() && self.is_stale() {
-            return None;
-        }
-        let at = asked_at.unwrap_or(now.saturating_sub(TRANSIT_LIMIT)).min(now);
-        let held = ages.held_by(&self.followed_revisions(), changed);
-        self.currency.record(at, &held);
-        at.checked_sub(held.oldest_bounded()?)
-    }
-
     /// Records the revision up to which a kind of object was followed, and that of its last change.
     pub fn record_progress(
         &self,
@@ -493,92 +466,11 @@
         self.lock().followed
     }
 
-    /// Returns the state that was read from the store since `known`, except for the entries.
-    pub fn snapshot_since(&self, known: &Progress) -> Snapshot {
-        let state = self.lock();
-        let (seen, changed) = (state.followed, state.latest_changes);
-        let upstreams = || state.candidates.values().map(|candidate| candidate.upstream.clone());
-        let slowdowns = || state.slowdowns.iter().map(|(address, factor)| (*address, *factor));
-        Snapshot {
-            seen,
-            changed,
-            upstreams: is_news(seen.upstreams, changed.upstreams, known.upstreams)
-                .then(|| upstreams().collect()),
-            missing: state.missing_upstreams(),
-            outs: is_news(seen.outs, changed.outs, known.outs).then(|| state.outs.clone()),
-            slowdowns: is_news(seen.slowdowns, changed.slowdowns, known.slowdowns)
-                .then(|| slowdowns().collect()),
-            entries: None,
-        }
-    }
-
-    /// Returns the active configuration if it has changed since `known`. It is compressed once, for
-    /// all entries that ask for it.
-    pub fn packed_configuration(&self, known: &Progress) -> Option<Packed> {
-        let mut state = self.lock();
-        let table = state.table.clone()?;
-        let (seen, changed) = (state.followed.configuration, state.latest_changes.configuration);
-        if !is_news(seen, changed, known.configuration) {
-            return None;
-        }
-        let generation = table.configuration().generation;
-        if let Some((packed_generation, packed)) = &state.packed
-            && *packed_generation == generation
-        {
-            return Some(packed.clone());
-        }
-        match Packed::new(table.configuration()) {
-            Ok(packed) => {
-                state.packed = Some((generation, packed.clone()));
-                Some(packed)
-            }
-            Err(error) => {
-                log::error!("cannot encode the configuration for another entry: {error}");
-                None
-            }
-        }
-    }
-
     /// Returns the registered upstreams.
     pub fn upstreams(&self) -> Vec<Upstream> {
         self.lock().candidates.values().map(|candidate| candidate.upstream.clone()).collect()
     }
 
-    /// Takes over those parts of another entry's snapshot that are newer.
-    pub fn merge_snapshot(&self, snapshot: Snapshot, configuration: Option<Configuration>) {
-        let Snapshot { seen, changed, upstreams, missing, outs, slowdowns, .. } = snapshot;
-        let own = self.followed_revisions();
-        self.note_restore(&mut self.lock(), own.upstreams, seen.upstreams);
-        if seen.configuration > own.configuration
-            && let Some(configuration) = configuration
-        {
-            self.apply_table(Table::new(configuration));
-        }
-        if seen.upstreams > own.upstreams
-            && let Some(upstreams) = upstreams
-        {
-            self.set_upstreams(upstreams);
-            self.mark_missing(&missing);
-        }
-        if seen.slowdowns > own.slowdowns
-            && let Some(slowdowns) = slowdowns
-        {
-            self.set_slowdowns(slowdowns.into_iter().collect());
-        }
-        if seen.outs > own.outs
-            && let Some(outs) = outs
-        {
-            let kept = if self.is_restoring() { self.outs() } else { Vec::new() };
-            self.set_outs(
-                outs.into_iter().chain(kept).collect::<BTreeSet<_>>().into_iter().collect(),
-            );
-        }
-        let mut state = self.lock();
-        state.followed = state.followed.max(&seen);
-        // Others hear from this entry of changes that it has not read from the store itself.
-        state.latest_changes = state.latest_changes.max(&changed);
-    }
-
     /// Sets the entries that share the budgets.
     pub fn set_entries<'a>(&self, names: impl Iterator<Item = &'a String>) {
         let hashes: Vec<u64> = names.map(|name| stable_hash(name.as_bytes())).collect();
@@ -947,13 +839,6 @@
     }
 }
 
-/// Returns whether an entry that has followed a kind up to `known` lacks something of what one knows
-/// that has followed it up to `seen`, with its last change at `changed`. An entry that knows nothing
-/// also lacks that there are no objects.
-fn is_news(seen: Revision, changed: Revision, known: Revision) -> bool {
-    changed > known || (known == 0 && seen > 0)
-}
-
 /// Pause of an upstream that refused a request for lack of a free slot.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// Pause of a group that failed. Its registration may exclude it for longer.
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -5,7 +5,6 @@
 //! In a large estate, entries send to relays, and only relays watch the store (see
 //! [`filberttrail_fleet::overlay`]). The others fetch each change from a relay.
 
-use crate::copy::Copy;
 use crate::follow::{self, Pick, RELAXED_CHECK_INTERVAL, Update};
 use crate::id_hash::IdHash;
 use crate::message::{self, Kind, Message};
@@ -16,9 +15,7 @@
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::Objects;
 use filberttrail_store::feed::{Object, Written};
-use filberttrail_web::server::read_body;
-use filberttrail_web::{Body, Client, Request, Response};
-use hyper::Method;
+use filberttrail_web::Client;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -85,14 +82,10 @@
 const SNAPSHOT_DELAY: Duration = Duration::from_millis(500);
 /// Minimum interval between two snapshots.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout for fetching a snapshot.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Minimum interval between two snapshots from a relay.
 const COPY_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which the report of another data centre's relay is preferred to one with fewer entries.
 const SUM_LIFETIME: Duration = Duration::from_millis(800);
-/// Maximum size of a snapshot, in bytes.
-const SNAPSHOT_LIMIT: usize = 8 << 20;
 
 /// The load of another data centre, as one of its relays last reported it.
 struct Sum {
@@ -114,13 +107,13 @@
     objects: Arc<Objects>,
     /// Notifications that interrupt the pending watches of the store.
     pub wakes: WatchWakes,
-    client: Client,
-    lag: Mutex<Lag>,
+    pub(crate) client: Client,
+    pub(crate) lag: Mutex<Lag>,
 }
 
 /// How far this entry lags behind the others in following the store.
 #[derive(Default)]
-struct Lag {
+pub(crate) struct Lag {
     /// Newest revisions that other entries advertised.
     newest: Progress,
     /// Time since which this entry lags behind.
@@ -130,7 +123,7 @@
     /// Time at which a snapshot was last fetched.
     fetched_at: Duration,
     /// Whether a snapshot is being fetched.
-    fetching: bool,
+    pub(crate) fetching: bool,
 }
 
 impl Peers {
@@ -156,7 +149,7 @@
         self.watching.subscribe()
     }
 
-    fn entries(&self) -> Arc<BTreeMap<String, Entry>> {
+    pub(crate) fn entries(&self) -> Arc<BTreeMap<String, Entry>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
@@ -420,48 +413,7 @@
         }
     }
 
-    async fn fetch_snapshot(&self, hub: &Hub, address: SocketAddr) {
-        self.merge_from(hub, address).await;
-        self.lag.lock().unwrap_or_else(PoisonError::into_inner).fetching = false;
-    }
-
-    async fn merge_from(&self, hub: &Hub, address: SocketAddr) {
-        let mut known = Vec::new();
-        if let Err(error) = ciborium::into_writer(&hub.followed_revisions(), &mut known) {
-            log::error!("cannot encode the revisions for another entry: {error}");
-            return;
-        }
-        let request = hyper::Request::builder()
-            .method(Method::POST)
-            .uri("/")
-            .header(hyper::header::HOST, address.to_string())
-            .body(Body::new(known));
-        let Ok(request) = request else { return };
-        let response = self.client.fetch(address, request, SNAPSHOT_TIMEOUT, SNAPSHOT_LIMIT).await;
-        let copy = response.map_err(|error| error.to_string()).and_then(|response| {
-            let copy: Copy =
-                ciborium::from_reader(&response.body()[..]).map_err(|error| error.to_string())?;
-            let configuration = copy.configuration.map(|packed| packed.unpack()).transpose()?;
-            Ok((copy.snapshot, configuration, response.body().len()))
-        });
-        let fields = json!({
-            "from": address.to_string(),
-            "seen": copy.as_ref().ok().map(|(snapshot, ..)| format!("{:?}", snapshot.seen)),
-            "bytes": copy.as_ref().ok().map(|(.., bytes)| *bytes),
-            "fault": copy.as_ref().err(),
-        });
-        hub.journal.record(Priority::Important, "asked_entry", fields);
-        if let Ok((snapshot, configuration, _)) = copy {
-            if let Some(entries) = snapshot.entries.clone()
-                && snapshot.seen.entries > hub.followed_revisions().entries
-            {
-                self.set_entries(hub, entries);
-            }
-            hub.merge_snapshot(snapshot, configuration);
-        }
-    }
-
-    fn set_entries(&self, hub: &Hub, entries: BTreeMap<String, Entry>) {
+    pub(crate) fn set_entries(&self, hub: &Hub, entries: BTreeMap<String, Entry>) {
         hub.set_entries(entries.keys());
         let count = entries.len();
         *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(entries);
@@ -469,26 +421,6 @@
         self.update_watching(hub);
     }
 
-    /// Responds to another entry, whose request has the revisions that it knows, with a snapshot of
-    /// what was read from the store since.
-    pub async fn serve_snapshot(self: Arc<Self>, hub: Arc<Hub>, request: Request) -> Response {
-        let body = read_body(request.into_body(), message::SIZE_LIMIT, SNAPSHOT_TIMEOUT).await;
-        let known = match body {
-            Ok(body) => ciborium::from_reader(&body[..]).unwrap_or_default(),
-            Err(problem) => return problem.into_response(),
-        };
-        let mut snapshot = hub.snapshot_since(&known);
-        if snapshot.changed.entries > known.entries {
-            snapshot.entries = Some((*self.entries()).clone());
-        }
-        let copy = Copy { snapshot, configuration: hub.packed_configuration(&known) };
-        let mut encoded = Vec::new();
-        if let Err(error) = ciborium::into_writer(&copy, &mut encoded) {
-            log::error!("cannot encode the snapshot for another entry: {error}");
-        }
-        Response::new(Body::new(encoded))
-    }
-
     /// Registers this entry and follows the registrations of the others.
     pub async fn run_follow(self: Arc<Self>, hub: Arc<Hub>) {
         let objects = self.objects.clone();
