--- a/crates/filberttrail-fleet/tests/currency.rs
+++ b/crates/filberttrail-fleet/tests/currency.rs
@@ -8,11 +8,11 @@
 
 const ENTRIES: usize = 149;
 const DATA_CENTRES: usize = 5;
-/// Time within which a change has to be in force on the large deployment (`configApplyMs`).
+/// Time within which a change has to be in force on the large deployment.
 const APPLY_BOUND: Duration = Duration::from_millis(4_000);
 /// Part of it that is left for fetching the change.
 const FETCH_TIME: Duration = Duration::from_millis(1_000);
-/// Time after trouble from which an entry has to be current again (`stabilityWindowMs`).
+/// Time after trouble from which an entry has to be current again.
 const STABILITY_WINDOW: Duration = Duration::from_millis(5_000);
 /// Age of a proof from which an entry that watches the store asks it: the longest delay of a check.
 const CHECK_AGE: Duration = APPLY_BOUND.checked_div(2).expect("a divisor");
