Log a digest of what each request asks for, with its attempts and answers

The logs of the crashing-request incident can't tell whether the requests that end upstreams are the same, as ids change with each try. The digest covers host, method, path with query, team and body.

Ruled out: the service as a field (routes move between services while the request stays the same), and the prompt header (a caller that repeats a body may name its parts anew).

--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request from its arrival to the response: acquires a slot, sends the request,
 //! and retries it where its route allows that.
 
+use crate::blame::format_part;
 use crate::caller_request::CallerRequest;
 use crate::exchange::{self, Failed, UpstreamResponse};
 use crate::outcome::Outcome;
@@ -252,7 +253,7 @@
     let fields = json!({
         "request": caller_request.id, "upstream": upstream_id, "service": caller_request.service,
         "outcome": label, "fault": attempts.last_error, "sent": attempts.failed_sent,
-        "parts": caller_request.shared_parts,
+        "parts": caller_request.shared_parts, "digest": format_part(caller_request.digest),
     });
     hub.journal.record(Priority::Important, "attempt", fields);
 }
@@ -348,7 +349,7 @@
     let fields = json!({
         "request": caller_request.id, "status": status, "upstream": upstream,
         "service": caller_request.service, "returned": caller_request.is_caller_retry,
-        "took_ms": took.as_millis() as u64,
+        "took_ms": took.as_millis() as u64, "digest": format_part(caller_request.digest),
     });
     hub.journal.record(Priority::Ordinary, "answer", fields);
 }
--- a/crates/filberttrail-gateway/src/caller_request.rs
+++ b/crates/filberttrail-gateway/src/caller_request.rs
@@ -7,6 +7,7 @@
 use filberttrail_fleet::Route;
 use filberttrail_fleet::blame::PartId;
 use filberttrail_fleet::event::SequenceNumber;
+use filberttrail_kernel::digest::StableHasher;
 use filberttrail_web::server::read_body;
 use filberttrail_web::{Problem, Request};
 use hyper::header::{self, HeaderMap, HeaderName};
@@ -63,6 +64,8 @@
     pub shared_parts: Vec<String>,
     /// Their ids among the parts of the service's prompts.
     pub part_ids: Vec<PartId>,
+    /// Hash of what the request asks for: see [`digest`].
+    pub digest: u64,
     /// Logs the request as cut off if it is dropped before its end.
     pub open_request: OpenRequest,
 }
@@ -129,6 +132,7 @@
         let is_caller_retry = hub.record_request(&service, &route.name, time_left);
         let path_and_query =
             parts.uri.path_and_query().map_or("/", |text| text.as_str()).to_string();
+        let digest = digest(&route, &parts.method, &path_and_query, team.as_deref(), &body);
         let headers = remove_headers_not_forwarded(parts.headers, names);
         let open_request = OpenRequest::new(hub.clone(), id.clone(), arrived);
         Ok(Self {
@@ -146,6 +150,7 @@
             deadline: arrived + timeout,
             shared_parts,
             part_ids,
+            digest,
             after_event,
             route,
         })
@@ -158,6 +163,27 @@
     }
 }
 
+/// Returns a hash of what a request asks for: the host of its route, the method, the path with its
+/// query as it is written, the team, and the body without its transfer coding.
+///
+/// Requests that differ in other headers ask for the same: their id, deadline, type of content, or
+/// the event after which they resume. The service is not included, as routes move between services.
+/// Requests without a key share one team.
+pub fn digest(
+    route: &Route,
+    method: &Method,
+    path_and_query: &str,
+    team: Option<&str>,
+    body: &[u8],
+) -> u64 {
+    let mut hasher = StableHasher::new();
+    for field in [route.host.as_str(), method.as_str(), path_and_query, team.unwrap_or_default()] {
+        hasher.write_field(field.as_bytes());
+    }
+    hasher.write_field(body);
+    hasher.finish()
+}
+
 fn find_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
     let from_header = headers.get(header::HOST).and_then(|host| host.to_str().ok());
     uri.authority().map(|authority| authority.as_str()).or(from_header)
--- a/crates/filberttrail-kernel/src/digest.rs
+++ b/crates/filberttrail-kernel/src/digest.rs
@@ -16,7 +16,32 @@
 ///
 /// The value is the same on every platform and in every release.
 pub fn stable_hash(bytes: &[u8]) -> u64 {
-    let digest = Sha256::digest(bytes);
+    first_bytes(&Sha256::digest(bytes))
+}
+
+/// Hashes several fields into one value of [`stable_hash`]'s kind.
+#[derive(Debug, Clone, Default)]
+pub struct StableHasher(Sha256);
+
+impl StableHasher {
+    /// Creates the hasher of no fields.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a field. The same bytes divided into other fields have another hash.
+    pub fn write_field(&mut self, bytes: &[u8]) {
+        self.0.update((bytes.len() as u64).to_be_bytes());
+        self.0.update(bytes);
+    }
+
+    /// Returns the first 8 bytes of the hash as a big-endian integer.
+    pub fn finish(self) -> u64 {
+        first_bytes(&self.0.finalize())
+    }
+}
+
+fn first_bytes(digest: &[u8]) -> u64 {
     digest.iter().take(8).fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
 }
 
