Blame whatever a request holds for crashes, also if nothing of an answer arrived

Cause: only prompt parts of answers that had begun were accused. A request without parts, or one whose upstream ended before a byte of its answer, accused nobody, was sent to the next upstream at once, and again by its caller at another entry.

Change: a request's digest (host, method, path, team, shared parts, body) is a subject of the ledger like its prompt parts. A crash accuses all subjects of a request whose answer had not lived, whatever had arrived. One mechanism serves safe, unsafe and streamed requests, first sends, retries and resumed streams. The retry inside a request is the first trial of its digest; other entries wait 1 s for its outcome, and two entries go on. A probe that is closed at once is repeated, as an upstream that ends may close its listener last.

Ruled out: clearing by failures that an upstream signs (some fail without running the request); the settling time for parts (tests/blame.rs: sound requests were refused for a second after each crash).

Still red: a caller that leaves before its request ends the upstream.

--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -2,14 +2,14 @@
 //! are late and lost.
 
 use filberttrail_fleet::blame::{
-    CONDEMNED_LIFETIME, Crash, Decision, Ledger, PartId, TRIAL_ENTRIES, has_lived,
+    CONDEMNED_LIFETIME, Crash, Decision, Ledger, SubjectId, TRIAL_ENTRIES, Turn, has_lived,
 };
 use filberttrail_kernel::digest::mix;
 use std::time::Duration;
 
-const BAD: PartId = 666;
-const FIRST: PartId = 1;
-const SUBJECT: PartId = 50;
+const BAD: SubjectId = 666;
+const FIRST: SubjectId = 1;
+const SUBJECT: SubjectId = 50;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -19,8 +19,8 @@
     Crash { upstream: number, incarnation: 7 }
 }
 
-fn decide(ledger: &mut Ledger, at: Duration, parts: &[PartId]) -> Decision {
-    ledger.decide(at, parts, |_| true)
+fn decide(ledger: &mut Ledger, at: Duration, parts: &[SubjectId]) -> Decision {
+    ledger.decide(at, parts, |_| Turn::Now)
 }
 
 #[test]
@@ -32,7 +32,7 @@
     for (number, at) in [(2, 5_000), (3, 9_000)] {
         let trial = decide(&mut ledger, ms(at), &[FIRST, BAD]);
         assert_eq!(trial, Decision::Trial(vec![BAD]), "the first part has lived recently");
-        ledger.begin_trial(&[BAD]);
+        ledger.begin_trial(&[BAD], crash(number));
         assert_eq!(decide(&mut ledger, ms(at + 1), &[SUBJECT, BAD]), Decision::Suspect(BAD));
         let condemned = ledger.record_crash(ms(at + 50), crash(number), &[FIRST, BAD], &[BAD]);
         ledger.end_trial(&[BAD]);
@@ -80,15 +80,15 @@
 fn only_entries_that_may_try_a_suspect_send_it() {
     let mut ledger = Ledger::new();
     ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
-    assert_eq!(ledger.decide(ms(1), &[BAD], |_| false), Decision::Suspect(BAD));
+    assert_eq!(ledger.decide(ms(1), &[BAD], |_| Turn::Never), Decision::Suspect(BAD));
 }
 
 #[test]
 fn crashes_that_are_far_apart_condemn_a_part_too() {
     let mut ledger = Ledger::new();
     ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
-    assert_eq!(ledger.decide(ms(14_000), &[BAD], |_| false), Decision::Suspect(BAD));
-    assert_eq!(ledger.decide(ms(16_000), &[BAD], |_| false), Decision::Free);
+    assert_eq!(ledger.decide(ms(14_000), &[BAD], |_| Turn::Never), Decision::Suspect(BAD));
+    assert_eq!(ledger.decide(ms(16_000), &[BAD], |_| Turn::Never), Decision::Free);
     ledger.record_crash(ms(60_000), crash(2), &[BAD], &[]);
     assert_eq!(decide(&mut ledger, ms(200_000), &[BAD]), Decision::Trial(vec![BAD]));
     assert_eq!(ledger.record_crash(ms(200_050), crash(3), &[BAD], &[BAD]), [BAD]);
@@ -121,7 +121,7 @@
     assert_eq!(other.report(ms(130_000)).accused.len(), 4, "a reminder, which is not passed on");
     for part in 0..500 {
         other.record_crash(ms(130_000), crash(1_000), &[part], &[]);
-        let decision = other.decide(ms(150_000), &[part], |_| false);
+        let decision = other.decide(ms(150_000), &[part], |_| Turn::Never);
         assert_eq!(decision, Decision::Suspect(part));
     }
 }
@@ -143,9 +143,9 @@
     group: usize,
     upstream: u32,
     started: u64,
-    parts: Vec<PartId>,
+    parts: Vec<SubjectId>,
     /// The parts that are on trial.
-    suspects: Vec<PartId>,
+    suspects: Vec<SubjectId>,
 }
 
 /// An estate in simulated time: entries with a ledger each, and groups of upstreams.
@@ -161,7 +161,7 @@
     bad_sends: Vec<u64>,
     sound_sent: usize,
     sound_refused: usize,
-    condemned: Vec<PartId>,
+    condemned: Vec<SubjectId>,
     next_crash: u32,
 }
 
@@ -268,7 +268,7 @@
         estate
     }
 
-    fn send(&mut self, random: &mut fastrand::Rng, now: u64, terms: Terms, parts: Vec<PartId>) {
+    fn send(&mut self, random: &mut fastrand::Rng, now: u64, terms: Terms, parts: Vec<SubjectId>) {
         let entry = random.usize(0..terms.entries);
         let open: Vec<usize> =
             (0..terms.groups).filter(|group| self.open_at[*group] <= now).collect();
@@ -276,18 +276,15 @@
         if open.is_empty() {
             return;
         }
-        let may_try = |part: PartId| {
+        let may_try = |part: SubjectId| {
             let rank = |entry: usize| mix(entry as u64, part);
             let ahead = (0..terms.entries).filter(|other| rank(*other) > rank(entry));
-            ahead.count() < TRIAL_ENTRIES
+            if ahead.count() < TRIAL_ENTRIES { Turn::Now } else { Turn::Never }
         };
         let decision = self.entries[entry].decide(ms(now), &parts, may_try);
         let suspects = match decision {
             Decision::Free => Vec::new(),
-            Decision::Trial(suspects) => {
-                self.entries[entry].begin_trial(&suspects);
-                suspects
-            }
+            Decision::Trial(suspects) => suspects,
             Decision::Suspect(_) | Decision::Condemned(_) => {
                 self.sound_refused += usize::from(!is_bad);
                 return;
@@ -299,6 +296,8 @@
         }
         let group = open[random.usize(0..open.len())];
         let upstream = random.u32(0..terms.ranks);
+        let target = Crash { upstream: group as u32 * terms.ranks + upstream, incarnation: 0 };
+        self.entries[entry].begin_trial(&suspects, target);
         self.running.push(Run { entry, group, upstream, started: now, parts, suspects });
     }
 
--- a/crates/filberttrail-gateway/src/blame.rs
+++ b/crates/filberttrail-gateway/src/blame.rs
@@ -1,9 +1,9 @@
-//! The prompt parts that this gateway and the other entries blame for crashes.
+//! What this gateway and the other entries blame for crashes.
 
 use crate::id_hash::hash_id;
 use crate::target::Target;
 use crate::verdicts::Change;
-use filberttrail_fleet::blame::{Crash, Decision, Ledger, PartId, Report};
+use filberttrail_fleet::blame::{Crash, Decision, Ledger, Report, SubjectId, Turn};
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
@@ -15,17 +15,26 @@
 /// Maximum number of verdicts that wait to be stored.
 const UNSTORED_LIMIT: usize = 1_024;
 
-/// Returns the id of a part of the prompts of a service.
-pub fn part_id(service: &str, part: &str) -> PartId {
+/// Returns the subject that a part of the prompts of a service is.
+pub fn part_subject(service: &str, part: &str) -> SubjectId {
     stable_hash(format!("{service}/{part}").as_bytes())
 }
 
-/// Formats the id of a part for logs and names of objects.
-pub fn format_part(part: PartId) -> String {
-    format!("{part:016x}")
+/// Formats a subject for logs and names of objects.
+pub fn format_subject(subject: SubjectId) -> String {
+    format!("{subject:016x}")
 }
 
-/// The ledger of blamed parts, with the clock and the log.
+fn format_subjects(subjects: &[SubjectId]) -> Vec<String> {
+    subjects.iter().map(|subject| format_subject(*subject)).collect()
+}
+
+/// Returns the crash that would end an upstream.
+fn crash_of(target: &Target) -> Crash {
+    Crash { upstream: hash_id(&target.id), incarnation: target.incarnation }
+}
+
+/// The ledger of blamed subjects, with the clock and the log.
 pub struct Blame {
     clock: clock::Shared,
     journal: Journal,
@@ -55,62 +64,53 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Decides on a request with these parts. `may_try` tells whether this entry may try a suspect.
-    pub fn decide(&self, parts: &[PartId], may_try: impl Fn(PartId) -> bool) -> Decision {
-        if parts.is_empty() {
-            return Decision::Free;
-        }
-        self.lock().decide(self.clock.now(), parts, may_try)
+    /// Decides on a request with these subjects. `turn` tells when this entry may try a suspect.
+    pub fn decide(&self, subjects: &[SubjectId], turn: impl Fn(SubjectId) -> Turn) -> Decision {
+        self.lock().decide(self.clock.now(), subjects, turn)
     }
 
-    /// Begins the trial of suspects.
-    pub fn begin_trial(&self, suspects: &[PartId]) {
-        self.lock().begin_trial(suspects);
+    /// Begins the trial of suspects at an upstream.
+    pub fn begin_trial(&self, suspects: &[SubjectId], target: &Target) {
+        self.lock().begin_trial(suspects, crash_of(target));
     }
 
     /// Ends the trial of suspects.
-    pub fn end_trial(&self, suspects: &[PartId]) {
+    pub fn end_trial(&self, suspects: &[SubjectId]) {
         self.lock().end_trial(suspects);
     }
 
-    /// Returns whether answers with all these parts have lived recently.
-    pub fn trusts(&self, parts: &[PartId]) -> bool {
+    /// Returns whether answers with all these subjects have lived recently.
+    pub fn trusts(&self, subjects: &[SubjectId]) -> bool {
         let now = self.clock.now();
         let ledger = self.lock();
-        parts.iter().all(|part| ledger.is_trusted(now, *part))
+        subjects.iter().all(|subject| ledger.is_trusted(now, *subject))
     }
 
-    /// Records that an answer to a request with these parts has lived.
-    pub fn record_lived(&self, parts: &[PartId]) {
-        if parts.is_empty() {
-            return;
-        }
-        let cleared = self.lock().record_lived(self.clock.now(), parts);
+    /// Records that an answer to a request with these subjects has lived.
+    pub fn record_lived(&self, subjects: &[SubjectId]) {
+        let cleared = self.lock().record_lived(self.clock.now(), subjects);
         if !cleared.is_empty() {
-            self.record("prompt_parts_cleared", &cleared);
+            self.record("subjects_cleared", &cleared);
             self.changed.notify_one();
         }
     }
 
-    /// Records that an upstream crashed while it answered a request with these parts, of which
+    /// Records that an upstream crashed while it answered a request with these subjects, of which
     /// `suspects` were on trial.
     pub fn record_crash(
         &self,
         request: &str,
         target: &Target,
-        parts: &[PartId],
-        suspects: &[PartId],
+        subjects: &[SubjectId],
+        suspects: &[SubjectId],
     ) {
-        let crash = Crash { upstream: hash_id(&target.id), incarnation: target.incarnation };
-        let condemned = self.lock().record_crash(self.clock.now(), crash, parts, suspects);
-        let texts = |parts: &[PartId]| -> Vec<String> {
-            parts.iter().map(|part| format_part(*part)).collect()
-        };
+        let now = self.clock.now();
+        let condemned = self.lock().record_crash(now, crash_of(target), subjects, suspects);
         let fields = json!({
-            "request": request, "upstream": target.id, "part_ids": texts(parts),
-            "on_trial": texts(suspects),
+            "request": request, "upstream": target.id, "subjects": format_subjects(subjects),
+            "on_trial": format_subjects(suspects),
         });
-        self.journal.record(Priority::Important, "prompt_parts_accused", fields);
+        self.journal.record(Priority::Important, "subjects_accused", fields);
         self.record_condemned(&condemned);
         self.changed.notify_one();
     }
@@ -129,7 +129,7 @@
         self.record_condemned(&condemned);
     }
 
-    /// Returns the number of condemned parts.
+    /// Returns the number of condemned subjects.
     pub fn count_condemned(&self) -> usize {
         self.lock().count_condemned()
     }
@@ -137,18 +137,18 @@
     /// Forgets what has expired.
     pub fn remove_expired(&self) {
         let lapsed = self.lock().remove_expired(self.clock.now());
-        self.record("prompt_parts_forgotten", &lapsed);
+        self.record("subjects_forgotten", &lapsed);
         self.store(lapsed.into_iter().map(Change::Forgotten));
     }
 
-    /// Condemns the parts that the store holds.
-    pub fn restore(&self, parts: &[PartId]) {
+    /// Condemns the subjects that the store holds.
+    pub fn restore(&self, subjects: &[SubjectId]) {
         let now = self.clock.now();
         let mut ledger = self.lock();
-        let new: Vec<PartId> =
-            parts.iter().copied().filter(|part| ledger.condemn(now, *part)).collect();
+        let new: Vec<SubjectId> =
+            subjects.iter().copied().filter(|subject| ledger.condemn(now, *subject)).collect();
         drop(ledger);
-        self.record("prompt_parts_condemned", &new);
+        self.record("subjects_condemned", &new);
     }
 
     /// Removes and returns the verdicts that are not stored yet.
@@ -156,9 +156,9 @@
         std::mem::take(&mut *self.unstored.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn record_condemned(&self, parts: &[PartId]) {
-        self.record("prompt_parts_condemned", parts);
-        self.store(parts.iter().copied().map(Change::Condemned));
+    fn record_condemned(&self, subjects: &[SubjectId]) {
+        self.record("subjects_condemned", subjects);
+        self.store(subjects.iter().copied().map(Change::Condemned));
     }
 
     fn store(&self, changes: impl Iterator<Item = Change>) {
@@ -172,11 +172,11 @@
         }
     }
 
-    fn record(&self, event: &str, parts: &[PartId]) {
-        if parts.is_empty() {
+    fn record(&self, event: &str, subjects: &[SubjectId]) {
+        if subjects.is_empty() {
             return;
         }
-        let part_ids: Vec<String> = parts.iter().map(|part| format_part(*part)).collect();
-        self.journal.record(Priority::Important, event, json!({ "part_ids": part_ids }));
+        let fields = json!({ "subjects": format_subjects(subjects) });
+        self.journal.record(Priority::Important, event, fields);
     }
 }
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -1,16 +1,16 @@
 //! Handles a caller's request from its arrival to the response: acquires a slot, sends the request,
 //! and retries it where its route allows that.
 
-use crate::blame::format_part;
+use crate::blame::format_subject;
+use crate::broken::Broken;
 use crate::caller_request::CallerRequest;
 use crate::exchange::{self, Failed, UpstreamResponse};
 use crate::outcome::Outcome;
 use crate::permit::Permit;
 use crate::relay::{Relay, Source};
 use crate::slot_request::{Refusal, SlotRequest};
-use crate::target::Target;
 use crate::trial::Trial;
-use crate::{Hub, crash, problem_response};
+use crate::{Hub, problem_response};
 use filberttrail_fleet::admission;
 use filberttrail_fleet::route::Kind;
 use filberttrail_journal::journal::Priority;
@@ -54,6 +54,8 @@
     /// Whether an upstream may have run the request. Also true while the outcome of an attempt is
     /// not known yet.
     pub may_have_run: bool,
+    /// Whether the upstream of one of the attempts crashed under the request.
+    pub crashed: bool,
     /// Whether the last attempt timed out without a response.
     pub silent: bool,
     /// The failure of the last attempt.
@@ -84,7 +86,7 @@
 }
 
 async fn serve(hub: &Arc<Hub>, caller_request: Arc<CallerRequest>) -> Response {
-    if let Err(refusal) = Trial::check(hub, &caller_request) {
+    if let Err(refusal) = Trial::check(hub, &caller_request, false) {
         return problem_response::refuse(hub, &caller_request.id, caller_request.arrived, &refusal);
     }
     let time_left =
@@ -121,53 +123,46 @@
 ) -> Response {
     loop {
         let started = match acquire(hub, caller_request, attempts).await {
-            // What is known of the prompt may have changed while the request waited.
-            Ok(permit) => Trial::begin(hub, caller_request).map(|trial| (permit, trial)),
+            // What is known of the request may have changed while it waited.
+            Ok(permit) => Trial::begin(hub, caller_request, &permit, attempts.crashed)
+                .map(|trial| (permit, trial)),
             Err(refusal) => Err(refusal),
         };
         let (permit, trial) = match started {
             Ok(started) => started,
             Err(refusal) => return give_up(hub, caller_request, attempts, refusal),
         };
-        let target = Target::new(&permit);
-        let suspects = trial.suspects().to_vec();
-        let mut blamed = false;
+        let id = permit.id.clone();
         // A timeout can drop this future while the attempt is under way, so the request counts as
         // possibly run until the outcome of the attempt is known.
         let may_have_run_before = std::mem::replace(&mut attempts.may_have_run, true);
-        let failed = match exchange::send(
+        let sent = exchange::send(
             hub,
             &permit,
             caller_request,
             caller_request.after_event,
             response_timeout(caller_request),
-        )
-        .await
-        {
+        );
+        let received = match sent.await {
             Ok(response) => {
-                let received =
-                    receive_response(hub, caller_request, attempts, permit, trial, response);
-                match received.await {
-                    Ok(response) => return response,
-                    Err(failed) => {
-                        record_failure(hub, caller_request, attempts, &failed, &target.id);
-                        blamed =
-                            crash::blame_prompt(hub, caller_request, &failed, &target, &suspects)
-                                .await;
-                        failed
-                    }
-                }
+                receive_response(hub, caller_request, attempts, permit, trial, response).await
             }
             Err(failed) => {
-                record_failure(hub, caller_request, attempts, &failed, &target.id);
-                drop((permit, trial));
-                crash::wait_for_news(hub, caller_request, &failed, &target).await;
-                failed
+                drop(permit);
+                Err(Broken { failed, trial: Some(trial) })
             }
         };
+        let Broken { failed, trial } = match received {
+            Ok(response) => return response,
+            Err(broken) => broken,
+        };
+        record_failure(hub, caller_request, attempts, &failed, &id);
+        if let Some(trial) = trial {
+            attempts.crashed |= trial.fail(&failed).await;
+        }
         attempts.may_have_run =
             may_have_run_before || matches!(failed, Failed::Unknown(_) | Failed::Silent);
-        if blamed || !try_take_retry(hub, caller_request, attempts, &failed) {
+        if !try_take_retry(hub, caller_request, attempts, &failed) {
             let retry_after = match failed {
                 Failed::NotRun { by_group: true, .. } => {
                     admission::retry_after_outage(fastrand::f64())
@@ -231,13 +226,13 @@
     attempts.last_error = format!("{failed:?}");
     // The label for metrics and the journal, and the outcome for the upstream's health.
     let (label, outcome) = match failed {
-        Failed::Unsent(_) => ("unsent", Outcome::Unreachable),
+        Failed::Unsent(_) | Failed::Refused(_) => ("unsent", Outcome::Unreachable),
         Failed::NotRun { .. } => ("not_run", Outcome::Full),
         Failed::Unknown(_) => ("failed", Outcome::Failure),
         Failed::Silent => ("silent", Outcome::Failure),
     };
     match failed {
-        Failed::Unsent(_) => attempts.failed_unsent += 1,
+        Failed::Unsent(_) | Failed::Refused(_) => attempts.failed_unsent += 1,
         _ => attempts.failed_sent += 1,
     }
     hub.metrics.record_attempt(label);
@@ -253,7 +248,7 @@
     let fields = json!({
         "request": caller_request.id, "upstream": upstream_id, "service": caller_request.service,
         "outcome": label, "fault": attempts.last_error, "sent": attempts.failed_sent,
-        "parts": caller_request.shared_parts, "digest": format_part(caller_request.digest),
+        "parts": caller_request.shared_parts, "digest": format_subject(caller_request.digest),
     });
     hub.journal.record(Priority::Important, "attempt", fields);
 }
@@ -266,7 +261,7 @@
     attempts: &Attempts,
     failed: &Failed,
 ) -> bool {
-    if matches!(failed, Failed::Unsent(_)) {
+    if matches!(failed, Failed::Unsent(_) | Failed::Refused(_)) {
         return attempts.failed_unsent <= UNSENT_LIMIT;
     }
     let allowed = match failed {
@@ -305,7 +300,7 @@
     permit: Permit,
     trial: Trial,
     response: UpstreamResponse,
-) -> Result<Response, Failed> {
+) -> Result<Response, Broken> {
     if caller_request.route.kind == Kind::Stream && response.head.status.is_success() {
         let head = response_head(hub, &response.head, true);
         let source = Source::new(permit, trial, response);
@@ -317,7 +312,9 @@
     let UpstreamResponse { head, body, connection } = response;
     let body = match hub.memory.read(body).await {
         Ok(body) => body,
-        Err(error) => return Err(Failed::Unknown(error)),
+        Err(error) => {
+            return Err(Broken { failed: Failed::Unknown(error), trial: Some(trial) });
+        }
     };
     // `None` means that the upstream closes the connection, and `Some(None)` that it announces no
     // idle timeout.
@@ -330,11 +327,13 @@
         && caller_request.route.kind == Kind::Safe
         && attempts.failed_sent + 1 < caller_request.route.attempts
     {
-        let error = format!("status {}", head.status);
-        return Err(Failed::Unknown(error));
+        let failed = Failed::Unknown(format!("status {}", head.status));
+        return Err(Broken { failed, trial: None });
     }
+    // A failure that the upstream reports is no evidence of either: some fail without running the
+    // request.
     if !failed {
-        hub.blame.record_lived(&caller_request.part_ids);
+        trial.pass();
     }
     hub.record_outcome(&permit.id, if failed { Outcome::Failure } else { Outcome::Success });
     hub.metrics.record_attempt("answered");
@@ -349,7 +348,7 @@
     let fields = json!({
         "request": caller_request.id, "status": status, "upstream": upstream,
         "service": caller_request.service, "returned": caller_request.is_caller_retry,
-        "took_ms": took.as_millis() as u64, "digest": format_part(caller_request.digest),
+        "took_ms": took.as_millis() as u64, "digest": format_subject(caller_request.digest),
     });
     hub.journal.record(Priority::Ordinary, "answer", fields);
 }
--- a/crates/filberttrail-gateway/src/caller_request.rs
+++ b/crates/filberttrail-gateway/src/caller_request.rs
@@ -1,11 +1,11 @@
 //! Reads and validates the requests of callers.
 
 use crate::Hub;
-use crate::blame::part_id;
+use crate::blame::part_subject;
 use crate::open_request::OpenRequest;
 use bytes::Bytes;
 use filberttrail_fleet::Route;
-use filberttrail_fleet::blame::PartId;
+use filberttrail_fleet::blame::SubjectId;
 use filberttrail_fleet::event::SequenceNumber;
 use filberttrail_kernel::digest::StableHasher;
 use filberttrail_web::server::read_body;
@@ -62,10 +62,10 @@
     pub after_event: Option<SequenceNumber>,
     /// Ids of the parts of its prompt that other requests may share, in order.
     pub shared_parts: Vec<String>,
-    /// Their ids among the parts of the service's prompts.
-    pub part_ids: Vec<PartId>,
     /// Hash of what the request asks for: see [`digest`].
-    pub digest: u64,
+    pub digest: SubjectId,
+    /// What may crash an upstream that runs the request: its shared parts, and its digest.
+    pub subjects: Vec<SubjectId>,
     /// Logs the request as cut off if it is dropped before its end.
     pub open_request: OpenRequest,
 }
@@ -123,7 +123,6 @@
         let after_event = text(&names.after_event).and_then(|last| last.trim().parse().ok());
         let shared_parts = parts.headers.get(&names.prompt);
         let shared_parts = shared_parts.map(hub.interface.read_shared_parts).unwrap_or_default();
-        let part_ids = shared_parts.iter().map(|part| part_id(&service, part)).collect();
         let team = team.map(|team| team.name.clone());
         let limit = table.configuration().body_bytes;
         drop(table);
@@ -132,7 +131,10 @@
         let is_caller_retry = hub.record_request(&service, &route.name, time_left);
         let path_and_query =
             parts.uri.path_and_query().map_or("/", |text| text.as_str()).to_string();
-        let digest = digest(&route, &parts.method, &path_and_query, team.as_deref(), &body);
+        let digest =
+            digest(&route, &parts.method, &path_and_query, team.as_deref(), &shared_parts, &body);
+        let parts_of_prompt = shared_parts.iter().map(|part| part_subject(&service, part));
+        let subjects = parts_of_prompt.chain([digest]).collect();
         let headers = remove_headers_not_forwarded(parts.headers, names);
         let open_request = OpenRequest::new(hub.clone(), id.clone(), arrived);
         Ok(Self {
@@ -149,8 +151,8 @@
             arrived,
             deadline: arrived + timeout,
             shared_parts,
-            part_ids,
             digest,
+            subjects,
             after_event,
             route,
         })
@@ -164,23 +166,29 @@
 }
 
 /// Returns a hash of what a request asks for: the host of its route, the method, the path with its
-/// query as it is written, the team, and the body without its transfer coding.
+/// query as it is written, the team, the shared parts of its prompt, and the body without its transfer
+/// coding.
 ///
 /// Requests that differ in other headers ask for the same: their id, deadline, type of content, or
 /// the event after which they resume. The service is not included, as routes move between services.
-/// Requests without a key share one team.
+/// Requests without a key share one team. The last part of a prompt is not included, as a caller may
+/// name it anew when it repeats a request.
 pub fn digest(
     route: &Route,
     method: &Method,
     path_and_query: &str,
     team: Option<&str>,
+    shared_parts: &[String],
     body: &[u8],
-) -> u64 {
+) -> SubjectId {
     let mut hasher = StableHasher::new();
     for field in [route.host.as_str(), method.as_str(), path_and_query, team.unwrap_or_default()] {
         hasher.write_field(field.as_bytes());
     }
     hasher.write_field(body);
+    for part in shared_parts {
+        hasher.write_field(part.as_bytes());
+    }
     hasher.finish()
 }
 
--- a/crates/filberttrail-gateway/src/connection.rs
+++ b/crates/filberttrail-gateway/src/connection.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::collections::{HashMap, VecDeque};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -119,14 +120,13 @@
     }
 }
 
-/// Opens a connection. The error is the text of the cause.
-pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, String> {
+/// Opens a connection.
+pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
     let connecting =
         tokio::time::timeout(timeout.min(CONNECT_TIMEOUT), TcpStream::connect(address));
     let stream = match connecting.await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(error.to_string()),
-        Err(_) => return Err("no connection in time".to_string()),
+        Ok(connected) => connected?,
+        Err(_) => return Err(io::Error::new(ErrorKind::TimedOut, "no connection in time")),
     };
     configure_socket(&stream);
     // Closing resets the connection: data that is delayed on the network must not reach the
@@ -139,7 +139,7 @@
         .max_buf_size(BUFFER_LIMIT)
         .handshake(TokioIo::new(allowance.wrap(stream)))
         .await;
-    let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {address} ended: {error}");
--- a/crates/filberttrail-gateway/src/exchange.rs
+++ b/crates/filberttrail-gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
+use std::io::ErrorKind;
 use std::time::Duration;
 
 /// A response whose body has not been read yet.
@@ -29,6 +30,8 @@
 pub enum Failed {
     /// Nothing was sent, for the given cause.
     Unsent(String),
+    /// Nothing was sent, as no process listens at the upstream's address; the cause is given.
+    Refused(String),
     /// The upstream states that it did not run the request.
     NotRun {
         /// Whether another rank of the upstream's group caused the refusal.
@@ -91,8 +94,12 @@
             },
         }
     }
-    let mut connection =
-        connection::connect(permit.address, time_left).await.map_err(Failed::Unsent)?;
+    let mut connection = connection::connect(permit.address, time_left).await.map_err(|error| {
+        match error.kind() {
+            ErrorKind::ConnectionRefused => Failed::Refused(error.to_string()),
+            _ => Failed::Unsent(error.to_string()),
+        }
+    })?;
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok(into_upstream_response(response, connection)),
         Err(mut error) => match error.take_message() {
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -13,7 +13,7 @@
 use crate::state::{DEPARTED_RETENTION, RESTORE_GRACE, State, is_partitioned};
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
-use filberttrail_fleet::blame::{PartId, TRIAL_ENTRIES};
+use filberttrail_fleet::blame::{SubjectId, TRIAL_ENTRIES};
 use filberttrail_fleet::snapshot::{Progress, Revision};
 use filberttrail_fleet::subset::{self, Share};
 use filberttrail_fleet::upstream::{self, Upstream};
@@ -65,7 +65,7 @@
     pub pool: Pool,
     /// Memory for large response bodies.
     pub memory: Memory,
-    /// Prompt parts that are blamed for crashes.
+    /// What is blamed for crashes.
     pub blame: Blame,
     /// Proofs that what was read from the store is current.
     pub currency: Currency,
@@ -193,7 +193,7 @@
     }
 
     /// Returns the active configuration. Returns nothing until the upstreams, the data centres out
-    /// of service and the condemned prompt parts are known too.
+    /// of service and the condemned subjects are known too.
     pub fn table(&self) -> Option<Arc<Table>> {
         let state = self.lock();
         state.table.clone().filter(|_| state.is_known())
@@ -452,7 +452,7 @@
         for (kind, age) in kinds.into_iter().filter_map(|(kind, age)| Some((kind, age?))) {
             self.metrics.set_store_age(kind, Duration::from_millis(u64::from(age)));
         }
-        self.metrics.set_condemned_parts(self.blame.count_condemned());
+        self.metrics.set_condemned_subjects(self.blame.count_condemned());
         self.metrics.render()
     }
 
@@ -480,20 +480,20 @@
         self.update_subsets(&mut state);
     }
 
-    /// Records that the condemned prompt parts are known.
+    /// Records that the condemned subjects are known.
     pub fn note_verdicts_known(&self) {
         self.lock().verdicts_known = true;
     }
 
-    /// Returns whether the condemned prompt parts are known.
+    /// Returns whether the condemned subjects are known.
     pub fn knows_verdicts(&self) -> bool {
         self.lock().verdicts_known
     }
 
     /// Returns whether this entry is one of those that may try a suspect.
-    pub fn may_try(&self, part: PartId) -> bool {
+    pub fn may_try(&self, subject: SubjectId) -> bool {
         let entry = stable_hash(self.settings.name.as_bytes());
-        subset::is_member(entry, &self.lock().entry_hashes, part, TRIAL_ENTRIES)
+        subset::is_member(entry, &self.lock().entry_hashes, subject, TRIAL_ENTRIES)
     }
 
     fn update_subsets(&self, state: &mut State) {
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod allowance;
 pub mod blame;
+pub mod broken;
 pub mod call;
 pub mod caller_request;
 pub mod connection;
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -66,10 +66,10 @@
     /// Limits that upstreams have named.
     #[serde(default)]
     pub limits: Vec<Told>,
-    /// Prompt parts that are blamed for crashes.
+    /// What is blamed for crashes.
     #[serde(default)]
     pub blame: Report,
-    /// Whether the entry knows all condemned parts, which may be more than a report contains.
+    /// Whether the entry knows all condemned subjects, which may be more than a report contains.
     #[serde(default)]
     pub verdicts_known: bool,
 }
--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -17,7 +17,7 @@
     relay: Histogram,
     generation: IntGauge,
     store_age: GaugeVec,
-    condemned_parts: IntGauge,
+    condemned_subjects: IntGauge,
 }
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -41,9 +41,9 @@
             wait: histogram("filberttrail_wait_seconds", "Time that a request waited for a slot")?,
             relay: histogram("filberttrail_relay_seconds", "Time to pass a streamed event on")?,
             generation: IntGauge::new("filberttrail_generation", "Active configuration")?,
-            condemned_parts: IntGauge::new(
-                "filberttrail_condemned_prompt_parts",
-                "Prompt parts whose requests are refused because they crash upstreams",
+            condemned_subjects: IntGauge::new(
+                "filberttrail_condemned_subjects",
+                "Subjects whose requests are refused because they crash upstreams",
             )?,
             store_age: GaugeVec::new(
                 Opts::new(
@@ -61,13 +61,13 @@
         metrics.registry.register(Box::new(metrics.relay.clone()))?;
         metrics.registry.register(Box::new(metrics.generation.clone()))?;
         metrics.registry.register(Box::new(metrics.store_age.clone()))?;
-        metrics.registry.register(Box::new(metrics.condemned_parts.clone()))?;
+        metrics.registry.register(Box::new(metrics.condemned_subjects.clone()))?;
         Ok(metrics)
     }
 
-    /// Sets the number of condemned prompt parts.
-    pub fn set_condemned_parts(&self, parts: usize) {
-        self.condemned_parts.set(parts as i64);
+    /// Sets the number of condemned subjects.
+    pub fn set_condemned_subjects(&self, parts: usize) {
+        self.condemned_subjects.set(parts as i64);
     }
 
     /// Sets the generation of the active configuration; 0 while there is none.
--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -1,12 +1,12 @@
 //! Forwards a stream event by event, and resumes it at another upstream if it breaks off.
 
+use crate::Hub;
+use crate::broken::Broken;
 use crate::call::{self, Attempts};
 use crate::caller_request::CallerRequest;
 use crate::connection::Connection;
 use crate::exchange::{self, Failed, UpstreamResponse};
 use crate::outcome::Outcome;
-use crate::{Hub, crash};
-
 use crate::permit::Permit;
 use crate::slot_request::Refusal;
 use crate::target::Target;
@@ -32,7 +32,7 @@
 /// The upstream response that the events are read from.
 pub struct Source {
     permit: Permit,
-    /// The trial of parts of the prompt, until the answer has lived.
+    /// The trial of the request, until the answer has lived.
     trial: Option<Trial>,
     body: Incoming,
     connection: Connection,
@@ -46,8 +46,6 @@
     arrivals: u32,
     /// Time of the first of them.
     first_arrival: Duration,
-    /// Whether the answer has lived, which shows that its prompt crashes no upstream.
-    lived: bool,
 }
 
 /// A stream that is forwarded to a caller.
@@ -75,7 +73,7 @@
         caller_request: Arc<CallerRequest>,
         attempts: Attempts,
         source: Source,
-    ) -> Result<Self, Failed> {
+    ) -> Result<Self, Broken> {
         let splitter = Splitter::new(caller_request.after_event);
         let started_at = hub.now();
         let target = Target::new(&source.permit);
@@ -102,7 +100,11 @@
                 Err(Failed::Silent)
                     if relay.hub.now() < relay.caller_request.deadline
                         && relay.hub.is_group_stalled(&relay.target.id, timeout) => {}
-                first => break first?,
+                Ok(first) => break first,
+                Err(failed) => {
+                    let trial = relay.source.take().and_then(|source| source.trial);
+                    return Err(Broken { failed, trial });
+                }
             }
         };
         match first {
@@ -147,16 +149,8 @@
                 }
                 Err(failed) => failed,
             };
-            if self.blame_prompt(&failed).await {
-                call::record_failure(
-                    &self.hub,
-                    &self.caller_request,
-                    &mut self.attempts,
-                    &failed,
-                    &self.target.id,
-                );
-                self.give_up(&failed);
-                return Some(Err(Truncated));
+            if failed != Failed::Silent {
+                self.end_trial(&failed).await;
             }
             // A stream that is only slow goes on if it cannot continue elsewhere.
             let stalled = self.source.take().filter(|_| failed == Failed::Silent);
@@ -206,10 +200,10 @@
                 self.batches += 1;
                 self.last_event_at = received_at;
                 source.record_arrival(received_at);
-                if !source.lived && source.has_lived(received_at) {
-                    source.lived = true;
-                    source.trial = None;
-                    self.hub.blame.record_lived(&self.caller_request.part_ids);
+                if source.has_lived(received_at)
+                    && let Some(trial) = source.trial.take()
+                {
+                    trial.pass();
                 }
                 self.hub.record_event(&self.target.id);
                 self.hub.metrics.record_relay(self.hub.now().saturating_sub(received_at));
@@ -228,27 +222,23 @@
             let event_interval = (self.last_event_at - self.started_at) / (self.batches - 1).max(1);
             self.hub.record_event_interval(&source.permit.id, event_interval);
         }
-        if source.lived || (source.framed && source.arrivals > 0) {
-            self.hub.blame.record_lived(&self.caller_request.part_ids);
+        let Source { permit, connection, idle_timeout, trial, .. } = source;
+        if let Some(trial) = trial.filter(|_| source.framed && source.arrivals > 0) {
+            trial.pass();
         }
-        let Source { permit, connection, idle_timeout, .. } = source;
         if let Some(idle_timeout) = idle_timeout {
             self.hub.pool.put_back(permit.address, connection, idle_timeout);
         }
     }
 
-    /// Blames the prompt if the upstream crashed before the answer had lived.
-    async fn blame_prompt(&mut self, failed: &Failed) -> bool {
-        let Some(source) = self.source.take_if(|source| !source.lived) else { return false };
-        let trial = source.trial.as_ref();
-        let suspects = trial.map(|trial| trial.suspects().to_vec()).unwrap_or_default();
-        let blamed =
-            crash::blame_prompt(&self.hub, &self.caller_request, failed, &self.target, &suspects);
-        let blamed = blamed.await;
-        if !blamed {
-            self.source = Some(source);
+    /// Ends the trial of an answer that broke off before it had lived, if it did.
+    async fn end_trial(&mut self, failed: &Failed) {
+        let source = self.source.as_mut();
+        if let Some(trial) = source.and_then(|source| source.trial.take()) {
+            // The slot is free for others while it is found out why.
+            self.source = None;
+            self.attempts.crashed |= trial.fail(failed).await;
         }
-        blamed
     }
 
     /// Resumes the stream at another upstream after the last event that was forwarded. Returns
@@ -274,7 +264,8 @@
                     return false;
                 }
             };
-            let trial = match Trial::begin(&self.hub, &self.caller_request) {
+            let crashed = self.attempts.crashed;
+            let trial = match Trial::begin(&self.hub, &self.caller_request, &permit, crashed) {
                 Ok(trial) => trial,
                 Err(refusal) => {
                     self.record_not_resumed(&refusal, slow);
@@ -298,7 +289,11 @@
                 Ok(response) => {
                     failed = Failed::Unknown(format!("status {}", response.head.status));
                 }
-                Err(error) => failed = error,
+                Err(error) => {
+                    failed = error;
+                    drop(permit);
+                    self.attempts.crashed |= trial.fail(&failed).await;
+                }
             }
         }
     }
@@ -340,7 +335,6 @@
             framed,
             arrivals: 0,
             first_arrival: Duration::ZERO,
-            lived: false,
         }
     }
 
--- a/crates/filberttrail-gateway/src/slot_request.rs
+++ b/crates/filberttrail-gateway/src/slot_request.rs
@@ -22,15 +22,15 @@
 }
 
 impl Refusal {
-    /// Cause of the refusal of a request with a prompt part that crashes upstreams.
-    pub const HARMFUL_PROMPT: &str = "a part of the prompt crashes upstreams";
-    /// Cause of the refusal of a request with a prompt part that may crash upstreams.
-    pub const SUSPECT_PROMPT: &str = "a part of the prompt may crash upstreams";
+    /// Cause of the refusal of a request that crashes upstreams, or has a part that does.
+    pub const HARMFUL: &str = "the request or a part of its prompt crashes upstreams";
+    /// Cause of the refusal of a request that may crash upstreams, or has a part that may.
+    pub const SUSPECT: &str = "the request or a part of its prompt may crash upstreams";
 
     /// Returns the title of the response.
     pub fn title(&self) -> &'static str {
         match self.cause {
-            Self::HARMFUL_PROMPT | Self::SUSPECT_PROMPT => "harmful prompt",
+            Self::HARMFUL | Self::SUSPECT => "harmful request",
             _ => "no room",
         }
     }
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -41,7 +41,7 @@
     pub upstreams_known: bool,
     /// Whether the data centres out of service were read at least once.
     pub outs_known: bool,
-    /// Whether the condemned prompt parts were read, or another entry has reported its own.
+    /// Whether the condemned subjects were read, or another entry has reported its own.
     pub verdicts_known: bool,
     pub candidates: BTreeMap<upstream::Id, Candidate>,
     /// Data centres out of service.
--- a/crates/filberttrail-gateway/src/verdicts.rs
+++ b/crates/filberttrail-gateway/src/verdicts.rs
@@ -1,18 +1,18 @@
-//! Keeps the condemned prompt parts in the store, for gateways that start when no other one runs.
+//! Keeps the condemned subjects in the store, for gateways that start when no other one runs.
 //!
-//! There is one object a part, whose name is the part's id. It is written by the entries that reach
-//! the verdict, read once by each that starts, and removed when the part is forgotten.
+//! There is one object a subject, whose name is the subject. It is written by the entries that reach
+//! the verdict, read once by each that starts, and removed when the subject is forgotten.
 
 use crate::Hub;
-use crate::blame::format_part;
-use filberttrail_fleet::blame::PartId;
+use crate::blame::format_subject;
+use filberttrail_fleet::blame::SubjectId;
 use filberttrail_journal::journal::Priority;
 use filberttrail_store::Objects;
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The kind of object under which condemned parts are stored.
+/// The kind of object under which condemned subjects are stored.
 pub const KIND: &str = "filberttrail-condemned";
 /// Delay before a failed call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -22,13 +22,13 @@
 /// A change of the stored verdicts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
-    /// The part was condemned.
-    Condemned(PartId),
-    /// The part was forgotten.
-    Forgotten(PartId),
+    /// The subject was condemned.
+    Condemned(SubjectId),
+    /// The subject was forgotten.
+    Forgotten(SubjectId),
 }
 
-/// Reads the condemned parts once, and then stores the changes.
+/// Reads the condemned subjects once, and then stores the changes.
 pub async fn run(hub: Arc<Hub>, objects: Arc<Objects>) {
     let stored = loop {
         match objects.list(KIND).await {
@@ -40,17 +40,17 @@
             }
         }
     };
-    let parts = stored.iter().filter_map(|object| {
-        let part = parse_part(&object.name);
-        if part.is_none() {
+    let subjects = stored.iter().filter_map(|object| {
+        let subject = parse_subject(&object.name);
+        if subject.is_none() {
             let fields = json!({
                 "kind": KIND, "name": object.name, "revision": object.revision,
             });
             hub.journal.record(Priority::Important, "unreadable_object", fields);
         }
-        part
+        subject
     });
-    hub.blame.restore(&parts.collect::<Vec<_>>());
+    hub.blame.restore(&subjects.collect::<Vec<_>>());
     hub.note_verdicts_known();
     loop {
         hub.blame.stored_changes.notified().await;
@@ -64,10 +64,10 @@
     for _ in 0..WRITE_ATTEMPTS {
         let result = match change {
             // Another entry may have stored it already.
-            Change::Condemned(part) => {
-                objects.put(KIND, &format_part(part), &json!({}), None).await.map(drop)
+            Change::Condemned(subject) => {
+                objects.put(KIND, &format_subject(subject), &json!({}), None).await.map(drop)
             }
-            Change::Forgotten(part) => objects.delete(KIND, &format_part(part)).await,
+            Change::Forgotten(subject) => objects.delete(KIND, &format_subject(subject)).await,
         };
         let Err(error) = result else { return };
         let fields = json!({
@@ -78,6 +78,6 @@
     }
 }
 
-fn parse_part(name: &str) -> Option<PartId> {
-    PartId::from_str_radix(name, 16).ok().filter(|part| format_part(*part) == name)
+fn parse_subject(name: &str) -> Option<SubjectId> {
+    SubjectId::from_str_radix(name, 16).ok().filter(|subject| format_subject(*subject) == name)
 }
