Accuse a request whose upstream turns out to have ended after it failed

Cause: the crash was looked for once, by a connection, at the moment at which the attempt failed. A caller that left dropped the attempt with its trial; a silent upstream is back at its address under another id before anyone connects.

Change: an attempt that ends without an outcome is remembered with its upstream's incarnation for 6 s, 256 at most. It is accused once that incarnation turns out to have ended: a connection is refused, another upstream answers or registers at its address or under its id, its registration goes without a planned departure, or another entry reports the crash. While the outcome of a trial is open, its suspects aren't tried.

Ruled out: accusing what was merely silent (slow upstreams would make suspects of sound requests), and what sent no usable response: tests/endless.rs failed, as an upstream that sends without end lives. Such failures have a type of their own now.

--- a/crates/filberttrail-fleet/src/blame/failures.rs
+++ b/crates/filberttrail-fleet/src/blame/failures.rs
@@ -27,6 +27,11 @@
 pub(super) struct Failures(VecDeque<Failure>);
 
 impl Failures {
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Remembers a failure, in place of the oldest one if there are too many.
     pub fn push(&mut self, failure: Failure) {
         if self.0.len() >= LIMIT {
--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -96,12 +96,13 @@
         Self::default()
     }
 
-    /// Decides on a request with these subjects. `turn` tells when this entry may try one with it.
+    /// Decides on a request with these subjects. `turn` tells when this entry may try a suspect with
+    /// it, by the suspect and whether it is the only one.
     pub fn decide(
         &mut self,
         now: Duration,
         subjects: &[SubjectId],
-        turn: impl Fn(SubjectId) -> Turn,
+        turn: impl Fn(SubjectId, bool) -> Turn,
     ) -> Decision {
         if let Some(subject) = subjects.iter().find(|subject| self.condemned.contains_key(subject))
         {
@@ -114,7 +115,7 @@
             let settled = || self.accused[&subject].last_at().is_none_or(|at| now >= at + SETTLING);
             !self.in_trial.contains_key(&subject)
                 && !self.failures.has_open_trial(subject)
-                && match turn(subject) {
+                && match turn(subject, suspects.len() == 1) {
                     Turn::Now => true,
                     Turn::Settled => settled(),
                     Turn::Never => false,
@@ -213,6 +214,9 @@
     /// Records that an upstream turned out to have crashed. Accuses the requests that ended there
     /// without an answer. Returns the subjects that were accused, and those condemned by that.
     pub fn record_end(&mut self, now: Duration, crash: Crash) -> [Vec<SubjectId>; 2] {
+        if self.failures.is_empty() {
+            return Default::default();
+        }
         let failures = self.failures.take(crash);
         let accused = failures.iter().flat_map(|failure| failure.subjects.clone()).collect();
         let condemned = failures.iter().flat_map(|failure| self.accuse_all(now, failure)).collect();
@@ -356,6 +360,9 @@
             if self.accuse(now, *subject, accusation, pass_on) {
                 condemned.push(*subject);
             }
+            // What this entry has lost there is accused as well.
+            let [_, own] = self.record_end(now, crash);
+            condemned.extend(own);
         }
         condemned
     }
--- a/crates/filberttrail-fleet/src/candidate.rs
+++ b/crates/filberttrail-fleet/src/candidate.rs
@@ -78,6 +78,11 @@
         self.own_requests.saturating_add(self.peer_requests)
     }
 
+    /// Returns whether the upstream has said that it is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.upstream.state != State::Ready || self.intake.leaving
+    }
+
     /// Returns whether the upstream, and its group if it has one, accepts new requests.
     pub fn accepts_requests(&self) -> bool {
         self.upstream.state == State::Ready
--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -20,7 +20,7 @@
 }
 
 fn decide(ledger: &mut Ledger, at: Duration, parts: &[SubjectId]) -> Decision {
-    ledger.decide(at, parts, |_| Turn::Now)
+    ledger.decide(at, parts, |_, _| Turn::Now)
 }
 
 #[test]
@@ -80,15 +80,15 @@
 fn only_entries_that_may_try_a_suspect_send_it() {
     let mut ledger = Ledger::new();
     ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
-    assert_eq!(ledger.decide(ms(1), &[BAD], |_| Turn::Never), Decision::Suspect(BAD));
+    assert_eq!(ledger.decide(ms(1), &[BAD], |_, _| Turn::Never), Decision::Suspect(BAD));
 }
 
 #[test]
 fn crashes_that_are_far_apart_condemn_a_part_too() {
     let mut ledger = Ledger::new();
     ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
-    assert_eq!(ledger.decide(ms(14_000), &[BAD], |_| Turn::Never), Decision::Suspect(BAD));
-    assert_eq!(ledger.decide(ms(16_000), &[BAD], |_| Turn::Never), Decision::Free);
+    assert_eq!(ledger.decide(ms(14_000), &[BAD], |_, _| Turn::Never), Decision::Suspect(BAD));
+    assert_eq!(ledger.decide(ms(16_000), &[BAD], |_, _| Turn::Never), Decision::Free);
     ledger.record_crash(ms(60_000), crash(2), &[BAD], &[]);
     assert_eq!(decide(&mut ledger, ms(200_000), &[BAD]), Decision::Trial(vec![BAD]));
     assert_eq!(ledger.record_crash(ms(200_050), crash(3), &[BAD], &[BAD]), [BAD]);
@@ -121,7 +121,7 @@
     assert_eq!(other.report(ms(130_000)).accused.len(), 4, "a reminder, which is not passed on");
     for part in 0..500 {
         other.record_crash(ms(130_000), crash(1_000), &[part], &[]);
-        let decision = other.decide(ms(150_000), &[part], |_| Turn::Never);
+        let decision = other.decide(ms(150_000), &[part], |_, _| Turn::Never);
         assert_eq!(decision, Decision::Suspect(part));
     }
 }
@@ -276,7 +276,7 @@
         if open.is_empty() {
             return;
         }
-        let may_try = |part: SubjectId| {
+        let may_try = |part: SubjectId, _| {
             let rank = |entry: usize| mix(entry as u64, part);
             let ahead = (0..terms.entries).filter(|other| rank(*other) > rank(entry));
             if ahead.count() < TRIAL_ENTRIES { Turn::Now } else { Turn::Never }
--- a/crates/filberttrail-gateway/src/blame.rs
+++ b/crates/filberttrail-gateway/src/blame.rs
@@ -4,6 +4,7 @@
 use crate::target::Target;
 use crate::verdicts::Change;
 use filberttrail_fleet::blame::{Crash, Decision, Ledger, Report, SubjectId, Turn};
+use filberttrail_fleet::upstream;
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
@@ -64,8 +65,13 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Decides on a request with these subjects. `turn` tells when this entry may try a suspect.
-    pub fn decide(&self, subjects: &[SubjectId], turn: impl Fn(SubjectId) -> Turn) -> Decision {
+    /// Decides on a request with these subjects. `turn` tells when this entry may try a suspect with
+    /// it, by the suspect and whether it is the only one.
+    pub fn decide(
+        &self,
+        subjects: &[SubjectId],
+        turn: impl Fn(SubjectId, bool) -> Turn,
+    ) -> Decision {
         self.lock().decide(self.clock.now(), subjects, turn)
     }
 
@@ -115,6 +121,26 @@
         self.changed.notify_one();
     }
 
+    /// Records that a request to an upstream ended without an answer, and it is not known whether
+    /// the upstream crashed.
+    pub fn record_failure(&self, target: &Target, subjects: &[SubjectId], suspects: &[SubjectId]) {
+        self.lock().record_failure(self.clock.now(), crash_of(target), subjects, suspects);
+    }
+
+    /// Records that an incarnation of an upstream has ended, and accuses the requests that ended
+    /// there without an answer.
+    pub fn record_end(&self, upstream: &str, incarnation: upstream::Incarnation) {
+        let crash = Crash { upstream: hash_id(upstream), incarnation };
+        let [accused, condemned] = self.lock().record_end(self.clock.now(), crash);
+        if accused.is_empty() {
+            return;
+        }
+        let fields = json!({ "upstream": upstream, "subjects": format_subjects(&accused) });
+        self.journal.record(Priority::Important, "subjects_accused", fields);
+        self.record_condemned(&condemned);
+        self.changed.notify_one();
+    }
+
     /// Returns what to tell the other entries.
     pub fn report(&self) -> Report {
         self.lock().report(self.clock.now())
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -160,8 +160,8 @@
         if let Some(trial) = trial {
             attempts.crashed |= trial.fail(&failed).await;
         }
-        attempts.may_have_run =
-            may_have_run_before || matches!(failed, Failed::Unknown(_) | Failed::Silent);
+        attempts.may_have_run = may_have_run_before
+            || matches!(failed, Failed::Unknown(_) | Failed::Unusable(_) | Failed::Silent);
         if !try_take_retry(hub, caller_request, attempts, &failed) {
             let retry_after = match failed {
                 Failed::NotRun { by_group: true, .. } => {
@@ -228,7 +228,7 @@
     let (label, outcome) = match failed {
         Failed::Unsent(_) | Failed::Refused(_) => ("unsent", Outcome::Unreachable),
         Failed::NotRun { .. } => ("not_run", Outcome::Full),
-        Failed::Unknown(_) => ("failed", Outcome::Failure),
+        Failed::Unknown(_) | Failed::Unusable(_) => ("failed", Outcome::Failure),
         Failed::Silent => ("silent", Outcome::Failure),
     };
     match failed {
@@ -298,7 +298,7 @@
     caller_request: &Arc<CallerRequest>,
     attempts: &Attempts,
     permit: Permit,
-    trial: Trial,
+    mut trial: Trial,
     response: UpstreamResponse,
 ) -> Result<Response, Broken> {
     if caller_request.route.kind == Kind::Stream && response.head.status.is_success() {
@@ -309,12 +309,11 @@
         record_response(hub, caller_request, head.status.as_u16(), &relay.upstream());
         return Ok(Response::from_parts(head, Body::Stream(relay.into_chunks())));
     }
+    trial.note_response();
     let UpstreamResponse { head, body, connection } = response;
     let body = match hub.memory.read(body).await {
         Ok(body) => body,
-        Err(error) => {
-            return Err(Broken { failed: Failed::Unknown(error), trial: Some(trial) });
-        }
+        Err(failed) => return Err(Broken { failed, trial: Some(trial) }),
     };
     // `None` means that the upstream closes the connection, and `Some(None)` that it announces no
     // idle timeout.
@@ -327,13 +326,14 @@
         && caller_request.route.kind == Kind::Safe
         && attempts.failed_sent + 1 < caller_request.route.attempts
     {
-        let failed = Failed::Unknown(format!("status {}", head.status));
+        let failed = Failed::Unusable(format!("status {}", head.status));
+        trial.cancel();
         return Err(Broken { failed, trial: None });
     }
-    // A failure that the upstream reports is no evidence of either: some fail without running the
-    // request.
-    if !failed {
-        trial.pass();
+    // Some upstreams report a failure without running the request, so that clears nothing.
+    match failed {
+        true => trial.cancel(),
+        false => trial.pass(),
     }
     hub.record_outcome(&permit.id, if failed { Outcome::Failure } else { Outcome::Success });
     hub.metrics.record_attempt("answered");
--- a/crates/filberttrail-gateway/src/crash.rs
+++ b/crates/filberttrail-gateway/src/crash.rs
@@ -33,5 +33,6 @@
 async fn probe(target: &Target) -> io::Result<bool> {
     let mut stream = TcpStream::connect(target.address).await?;
     let mut byte = [0];
-    Ok(tokio::time::timeout(CLOSE_DELAY, stream.read(&mut byte)).await.is_ok())
+    let read = tokio::time::timeout(CLOSE_DELAY, stream.read(&mut byte)).await;
+    Ok(matches!(read, Ok(Ok(0) | Err(_))))
 }
--- a/crates/filberttrail-gateway/src/exchange.rs
+++ b/crates/filberttrail-gateway/src/exchange.rs
@@ -12,7 +12,8 @@
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
-use std::io::ErrorKind;
+use std::error::Error;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 /// A response whose body has not been read yet.
@@ -39,12 +40,26 @@
         /// Whether another upstream responded at the address.
         misdirected: bool,
     },
-    /// The request may have run; the cause is given.
+    /// The request may have run, and its connection ended before the response; the cause is given.
     Unknown(String),
+    /// The request may have run, and what the upstream sent is no usable response; the cause is given.
+    Unusable(String),
     /// The request may have run, and no response arrived in time.
     Silent,
 }
 
+impl Failed {
+    /// Tells why no response, or only a part of one, could be read from a connection.
+    pub fn from_connection(error: &hyper::Error) -> Self {
+        let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        let over_limit = source.is_some_and(|source| source.kind() == ErrorKind::InvalidData);
+        match error.is_parse() || error.is_parse_too_large() || over_limit {
+            true => Self::Unusable(error.to_string()),
+            false => Self::Unknown(error.to_string()),
+        }
+    }
+}
+
 /// Sends a request to the upstream of a permit. Waits for the head of the response until `timeout`
 /// or the request's deadline.
 pub async fn send(
@@ -90,7 +105,7 @@
             Ok(response) => return Ok(into_upstream_response(response, connection)),
             Err(mut error) => match error.take_message() {
                 Some(unsent) => request = unsent,
-                None => return Err(Failed::Unknown(error.into_error().to_string())),
+                None => return Err(Failed::from_connection(&error.into_error())),
             },
         }
     }
@@ -104,7 +119,7 @@
         Ok(response) => Ok(into_upstream_response(response, connection)),
         Err(mut error) => match error.take_message() {
             Some(_) => Err(Failed::Unsent(error.into_error().to_string())),
-            None => Err(Failed::Unknown(error.into_error().to_string())),
+            None => Err(Failed::from_connection(&error.into_error())),
         },
     }
 }
@@ -159,11 +174,11 @@
     let names = &hub.interface.headers;
     let id = head.headers.get(&names.request);
     if id.is_some_and(|id| id.as_bytes() != caller_request.id.as_bytes()) {
-        return Err(Failed::Unknown("the answer belongs to another request".to_string()));
+        return Err(Failed::Unusable("the answer belongs to another request".to_string()));
     }
     if id.is_none() && reused {
         // It may be a late second copy of the response to the request before.
-        return Err(Failed::Unknown("the answer names no request".to_string()));
+        return Err(Failed::Unusable("the answer names no request".to_string()));
     }
     let not_run = head.headers.contains_key(&names.not_run);
     if not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -176,10 +191,10 @@
         return Err(Failed::NotRun { by_group, misdirected });
     }
     if !head.headers.contains_key(&names.signature) || id.is_none() {
-        return Err(Failed::Unknown(format!("status {} without a signature", head.status)));
+        return Err(Failed::Unusable(format!("status {} without a signature", head.status)));
     }
     if head.headers.contains_key(CONTENT_ENCODING) {
-        return Err(Failed::Unknown("the answer is encoded".to_string()));
+        return Err(Failed::Unusable("the answer is encoded".to_string()));
     }
     let not_run_statuses = [
         StatusCode::TOO_MANY_REQUESTS,
@@ -189,7 +204,7 @@
     if not_run_statuses.contains(&head.status) {
         // This status implies that the request was not run, but the response lacks the header that
         // proves it.
-        return Err(Failed::Unknown(format!("status {} without proof", head.status)));
+        return Err(Failed::Unusable(format!("status {} without proof", head.status)));
     }
     Ok(())
 }
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -16,15 +16,15 @@
 use filberttrail_fleet::blame::{SubjectId, TRIAL_ENTRIES};
 use filberttrail_fleet::snapshot::{Progress, Revision};
 use filberttrail_fleet::subset::{self, Share};
-use filberttrail_fleet::upstream::{self, Upstream};
-use filberttrail_fleet::{Budget, Candidate, Loads, Table, balance};
+use filberttrail_fleet::upstream::Upstream;
+use filberttrail_fleet::{Budget, Loads, Table, balance};
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::revision;
 use serde_json::json;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -233,43 +233,6 @@
         self.lock().outs.clone()
     }
 
-    /// Replaces all registrations and removes the upstreams that are not among them.
-    pub fn set_upstreams(&self, upstreams: Vec<Upstream>) {
-        let present: HashSet<upstream::Id> =
-            upstreams.iter().map(|upstream| upstream.id.clone()).collect();
-        for upstream in upstreams {
-            if !self.is_reverted(&upstream) {
-                self.set_upstream(upstream);
-            }
-        }
-        let mut state = self.lock();
-        state.upstreams_known = true;
-        let removed_ids: Vec<upstream::Id> =
-            state.candidates.keys().filter(|id| !present.contains(*id)).cloned().collect();
-        drop(state);
-        for id in removed_ids {
-            self.remove_upstream(&id);
-        }
-        self.request_dispatch();
-    }
-
-    /// Returns whether a listed registration is one that a restored store holds from before the
-    /// upstream started to drain or left.
-    fn is_reverted(&self, upstream: &Upstream) -> bool {
-        let state = self.lock();
-        if state.restored_at.is_none() {
-            return false;
-        }
-        let departed = state.departed.get(&upstream.id);
-        let draining = state.candidates.get(&upstream.id).is_some_and(|candidate| {
-            let known = &candidate.upstream;
-            known.incarnation == upstream.incarnation
-                && known.state == upstream::State::Draining
-                && upstream.state == upstream::State::Ready
-        });
-        draining || departed.is_some_and(|(incarnation, _)| *incarnation == upstream.incarnation)
-    }
-
     /// Returns whether the store was restored from a copy so recently that it may lack what was
     /// written shortly before.
     pub fn is_restoring(&self) -> bool {
@@ -300,70 +263,6 @@
         over
     }
 
-    /// Adds or updates a registration.
-    pub fn set_upstream(&self, upstream: Upstream) {
-        let mut state = self.lock();
-        let fields = json!({
-            "upstream": upstream.id,
-            "address": upstream.address.to_string(),
-            "state": format!("{:?}", upstream.state),
-            "born": upstream.incarnation,
-            "rank": upstream.rank.as_ref().map(|rank| {
-                json!({
-                    "group": rank.group, "epoch": rank.epoch, "number": rank.number,
-                    "open": rank.open,
-                })
-            }),
-        });
-        let slowdown = state.slowdowns.get(&upstream.address).copied().unwrap_or(1.0);
-        match state.candidates.get_mut(&upstream.id) {
-            None => {
-                let mut candidate = Candidate::new(upstream);
-                candidate.slowdown = slowdown;
-                state.insert_candidate(candidate);
-                self.update_subsets(&mut state);
-            }
-            Some(candidate) => {
-                candidate.missing = false;
-                if candidate.upstream == upstream {
-                    return;
-                }
-                if candidate.upstream.incarnation != upstream.incarnation
-                    || candidate.upstream.address != upstream.address
-                {
-                    self.pool.close_idle(candidate.upstream.address);
-                }
-                candidate.update(upstream);
-            }
-        }
-        drop(state);
-        self.journal.record(Priority::Important, "upstream", fields);
-        self.request_dispatch();
-    }
-
-    /// Removes an upstream whose registration disappeared. While the store is unavailable and
-    /// shortly after, the upstream is only marked as missing, because its registration may come
-    /// back.
-    pub fn remove_upstream(&self, id: &str) {
-        let now = self.now();
-        let mut state = self.lock();
-        let kind = self.interface.upstreams;
-        let unreliable = state.unavailable_kinds.contains(kind)
-            || now < state.upstreams_regained_at + LAPSE_GRACE;
-        let Some(candidate) = state.candidates.get_mut(id) else { return };
-        if unreliable {
-            candidate.missing = true;
-        } else {
-            let Upstream { address, incarnation, .. } = candidate.upstream;
-            state.remove_candidate(id);
-            state.departed.insert(id.to_string(), (incarnation, now));
-            self.pool.close_idle(address);
-        }
-        drop(state);
-        let fields = json!({ "upstream": id, "kept": unreliable });
-        self.journal.record(Priority::Important, "upstream_gone", fields);
-    }
-
     /// Records that the store became unavailable for a kind of object, with the error, or available
     /// again.
     pub fn record_store_state(&self, kind: &'static str, error: Option<String>) {
@@ -407,7 +306,7 @@
                 self.journal.record(Priority::Important, "upstreams_lapsed", fields);
             }
         }
-        state.departed.retain(|_, (_, at)| now < *at + DEPARTED_RETENTION);
+        state.departed.retain(|_, departure| now < departure.at + DEPARTED_RETENTION);
         state.heard.retain(|_, at| now < *at + PEER_RETENTION);
         let changed = state.loads.remove_expired(now);
         state.update_peer_requests(&changed);
@@ -496,7 +395,7 @@
         subset::is_member(entry, &self.lock().entry_hashes, subject, TRIAL_ENTRIES)
     }
 
-    fn update_subsets(&self, state: &mut State) {
+    pub(crate) fn update_subsets(&self, state: &mut State) {
         let entries = state.entries.unwrap_or(ASSUMED_ENTRIES);
         let entry = stable_hash(self.settings.name.as_bytes());
         state.update_subsets(entry, |table, service| self.share(table, service, entries));
@@ -823,7 +722,7 @@
         }
     }
 
-    fn request_dispatch(&self) {
+    pub(crate) fn request_dispatch(&self) {
         self.dispatch_requested.notify_one();
     }
 
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod permit;
 pub mod problem_response;
 pub mod queue_guard;
+pub mod registrations;
 pub mod relay;
 pub mod settings;
 pub mod signals;
--- a/crates/filberttrail-gateway/src/memory.rs
+++ b/crates/filberttrail-gateway/src/memory.rs
@@ -1,5 +1,6 @@
 //! Reads response bodies into memory, of which all large bodies together get a limited amount.
 
+use crate::exchange::Failed;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -33,19 +34,20 @@
         Self::default()
     }
 
-    /// Reads a complete body. The error is the text of the cause.
-    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, String> {
+    /// Reads a complete body.
+    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, Failed> {
         let mut collected = BytesMut::new();
         let mut part = Part { memory: self.clone(), size: 0 };
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| error.to_string())?;
+            let frame = frame.map_err(|error| Failed::from_connection(&error))?;
             let Ok(data) = frame.into_data() else { continue };
             let size = collected.len() + data.len();
             if size > BODY_LIMIT {
-                return Err(format!("the body exceeds {BODY_LIMIT} bytes"));
+                return Err(Failed::Unusable(format!("the body exceeds {BODY_LIMIT} bytes")));
             }
             if size > SMALL_BODY && !part.grow(size) {
-                return Err(format!("large bodies together exceed {TOTAL_LIMIT} bytes"));
+                let fault = format!("large bodies together exceed {TOTAL_LIMIT} bytes");
+                return Err(Failed::Unusable(fault));
             }
             collected.extend_from_slice(&data);
         }
--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -174,7 +174,7 @@
     async fn read_events(&mut self, timeout: Duration) -> Result<Option<Bytes>, Failed> {
         let deadline = self.hub.now() + timeout;
         if self.splitter.has_gap() {
-            return Err(Failed::Unknown("events are missing".to_string()));
+            return Err(Failed::Unusable("events are missing".to_string()));
         }
         loop {
             let Some(source) = &mut self.source else { return Ok(None) };
@@ -189,13 +189,13 @@
                     return Err(Failed::Unknown("it ended before its first event".to_string()));
                 }
                 Ok(None) => return Ok(None),
-                Ok(Some(Err(error))) => return Err(Failed::Unknown(error.to_string())),
+                Ok(Some(Err(error))) => return Err(Failed::from_connection(&error)),
                 Ok(Some(Ok(frame))) => frame,
             };
             let received_at = self.hub.now();
             let Ok(data) = frame.into_data() else { continue };
             let events = self.splitter.push(&data);
-            let events = events.map_err(|fault| Failed::Unknown(format!("{fault:?}")))?;
+            let events = events.map_err(|fault| Failed::Unusable(format!("{fault:?}")))?;
             if let Some(events) = events {
                 self.batches += 1;
                 self.last_event_at = received_at;
@@ -287,7 +287,8 @@
                     return true;
                 }
                 Ok(response) => {
-                    failed = Failed::Unknown(format!("status {}", response.head.status));
+                    trial.cancel();
+                    failed = Failed::Unusable(format!("status {}", response.head.status));
                 }
                 Err(error) => {
                     failed = error;
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -29,6 +29,17 @@
 /// Time for which departed upstreams are remembered. Copies of the store are some seconds old.
 pub(crate) const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
 
+/// The departure of an upstream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Departure {
+    /// Incarnation that left.
+    pub incarnation: upstream::Incarnation,
+    /// Time at which its registration was found to be gone.
+    pub at: Duration,
+    /// Whether it had said before that it would leave.
+    pub planned: bool,
+}
+
 /// Candidates, queues, budgets, and what was read from the store and received from other entries.
 #[derive(Default)]
 pub(crate) struct State {
@@ -75,8 +86,8 @@
     /// Time at which the store was last found to be restored from a copy that lacks the latest
     /// writes, until the objects have been listed again after [`RESTORE_GRACE`].
     pub restored_at: Option<Duration>,
-    /// Upstreams that left, with their incarnation and the time, by id.
-    pub departed: HashMap<upstream::Id, (upstream::Incarnation, Duration)>,
+    /// Upstreams that left, by id.
+    pub departed: HashMap<upstream::Id, Departure>,
     /// Whether this entry is partitioned from the other data centres.
     pub partitioned: bool,
     /// Slowdown factors of slow upstreams, by address.
--- a/crates/filberttrail-gateway/src/trial.rs
+++ b/crates/filberttrail-gateway/src/trial.rs
@@ -22,6 +22,8 @@
     caller_request: Arc<CallerRequest>,
     target: Target,
     suspects: Vec<SubjectId>,
+    /// Whether the request has been given to the upstream and its outcome is not known.
+    open: bool,
 }
 
 impl Trial {
@@ -42,29 +44,58 @@
         let suspects = decide(hub, caller_request, crashed)?;
         let target = Target::new(permit);
         hub.blame.begin_trial(&suspects, &target);
-        Ok(Self { hub: hub.clone(), caller_request: caller_request.clone(), target, suspects })
-    }
-
-    /// Returns the upstream that the request is sent to.
-    pub fn target(&self) -> &Target {
-        &self.target
+        let (hub, caller_request) = (hub.clone(), caller_request.clone());
+        Ok(Self { hub, caller_request, target, suspects, open: true })
     }
 
     /// Records that the upstream survived the request.
-    pub fn pass(self) {
+    pub fn pass(mut self) {
+        self.open = false;
         self.hub.blame.record_lived(&self.caller_request.subjects);
     }
 
-    /// Finds out whether the upstream crashed under the request, and accuses its subjects then. The
-    /// trial ends after that. Returns whether it did, and the request may be sent again.
-    pub async fn fail(self, failed: &Failed) -> bool {
-        if !matches!(failed, Failed::Unknown(_)) || !crash::has_crashed(&self.target).await {
+    /// Records that the upstream has begun to respond: it doesn't end without a response if the caller
+    /// leaves, or is out of time, before it is complete.
+    pub fn note_response(&mut self) {
+        self.open = false;
+    }
+
+    /// Ends the trial without an outcome: the upstream did not begin to run the request, or says that
+    /// it failed.
+    pub fn cancel(mut self) {
+        self.open = false;
+    }
+
+    /// Finds out whether the upstream crashed under the request, and accuses its subjects then. If
+    /// that is not known, they are accused once it is. The trial ends after that. Returns whether the
+    /// upstream crashed; the request may be sent again then.
+    pub async fn fail(mut self, failed: &Failed) -> bool {
+        match failed {
+            Failed::Refused(_) | Failed::NotRun { misdirected: true, .. } => {
+                self.hub.blame.record_end(&self.target.id, self.target.incarnation);
+                self.cancel();
+                return false;
+            }
+            Failed::Unsent(_) | Failed::NotRun { .. } => {
+                self.cancel();
+                return false;
+            }
+            Failed::Unusable(_) => self.open = false,
+            Failed::Silent | Failed::Unknown(_) => self.open = true,
+        }
+        // A change of the registrations may have arrived while the upstream was asked.
+        let ended = self.hub.has_ended(&self.target)
+            || (*failed != Failed::Silent && crash::has_crashed(&self.target).await)
+            || self.hub.has_ended(&self.target);
+        if !ended {
             return false;
         }
-        let Self { hub, caller_request, target, suspects } = &self;
+        self.open = false;
+        let Self { hub, caller_request, target, suspects, .. } = &self;
         let subjects = &caller_request.subjects;
         let trusted = hub.blame.trusts(subjects);
         hub.blame.record_crash(&caller_request.id, target, subjects, suspects);
+        hub.blame.record_end(&target.id, target.incarnation);
         drop(self);
         if !trusted {
             tokio::time::sleep(NEWS_DELAY).await;
@@ -75,6 +106,10 @@
 
 impl Drop for Trial {
     fn drop(&mut self) {
+        if self.open {
+            let subjects = &self.caller_request.subjects;
+            self.hub.blame.record_failure(&self.target, subjects, &self.suspects);
+        }
         if !self.suspects.is_empty() {
             self.hub.blame.end_trial(&self.suspects);
         }
@@ -87,12 +122,14 @@
     crashed: bool,
 ) -> Result<Vec<SubjectId>, Refusal> {
     // A request that a crash broke off is the best trial of its digest, as most are sound, and others
-    // wait for it. It is no trial of its parts: other requests with them may be sound.
-    let turn = |subject| match (subject == caller_request.digest, crashed) {
+    // wait for it. It is no trial of its parts, which other requests have too, and is not sent again
+    // if they are suspects.
+    let turn = |subject, only_suspect| match (subject == caller_request.digest, crashed) {
         (true, true) => Turn::Now,
         _ if !hub.may_try(subject) => Turn::Never,
-        (false, false) => Turn::Now,
-        _ => Turn::Settled,
+        (true, false) if only_suspect => Turn::Settled,
+        (false, true) => Turn::Settled,
+        _ => Turn::Now,
     };
     match hub.blame.decide(&caller_request.subjects, turn) {
         Decision::Free => Ok(Vec::new()),
