Let an entry that was paused hear from another one before it sends

Callers could see: an entry that wakes sends a request that the others condemned while it was paused, and ends one more upstream.

Cause: requests waited until the store was read after a pause, but what is condemned comes from other entries.

--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -45,6 +45,8 @@
 /// Time that a message between entries may take. Longer delays add to the age of what it proves, and
 /// entries behind links that delay messages longer are not expected to apply changes in time.
 pub(crate) const TRANSIT_LIMIT: Duration = Duration::from_millis(100);
+/// The part of the knowledge that messages of other entries refresh.
+const NEWS: &str = "news";
 /// A request counts as a caller's retry if its time left is below this fraction of the longest one
 /// seen on its route.
 const FULL_TIMEOUT_FRACTION: f64 = 0.97;
@@ -332,13 +334,27 @@
         let mut state = self.lock();
         let previous = *pick(&mut state.followed);
         self.note_restore(&mut state, previous, seen);
-        let Interface { upstreams, configuration, outs, .. } = self.interface;
-        state.freshness.record_read(kind, &[upstreams, configuration.0, outs]);
+        self.record_refreshed(&mut state, kind);
         *pick(&mut state.followed) = seen.max(previous);
         let previous = pick(&mut state.latest_changes);
         *previous = changed.max(*previous);
     }
 
+    /// Records that a part of the knowledge was read: a kind of object, or the news of another entry,
+    /// which tells what it has condemned.
+    fn record_refreshed(&self, state: &mut State, part: &'static str) {
+        let Interface { upstreams, configuration, outs, .. } = self.interface;
+        let parts = [upstreams, configuration.0, outs, NEWS];
+        // An entry without others has no news to wait for.
+        let needed = if state.entry_hashes.len() > 1 { &parts[..] } else { &parts[..3] };
+        state.freshness.record_read(part, needed);
+    }
+
+    /// Records that another entry sent a message.
+    pub fn record_news(&self) {
+        self.record_refreshed(&mut self.lock(), NEWS);
+    }
+
     /// Encodes the metrics in the Prometheus text format.
     pub fn render_metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
         let generation =
@@ -379,6 +395,11 @@
         self.update_subsets(&mut state);
     }
 
+    /// Returns the number of entries that share the budgets, as far as it is known.
+    pub fn count_entries(&self) -> usize {
+        self.lock().entry_hashes.len()
+    }
+
     /// Records that the condemned subjects are known.
     pub fn note_verdicts_known(&self) {
         self.lock().verdicts_known = true;
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -306,6 +306,7 @@
         let pass_on = !Overlay::is_direct(self.entries().len());
         hub.blame.receive(&blame, pass_on);
         hub.pause_crashed(&blame);
+        hub.record_news();
         if message.verdicts_known {
             hub.note_verdicts_known();
         }
