--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -2,7 +2,7 @@
 //! are late and lost.
 
 use filberttrail_fleet::blame::{
-    CONDEMNED_LIFETIME, Crash, Decision, Ledger, SubjectId, TRIAL_ENTRIES, Turn, has_lived,
+    CONDEMNED_LIFETIME, Crash, Decision, Ledger, Reserve, SubjectId, TRIAL_ENTRIES, Turn, has_lived,
 };
 use filberttrail_kernel::digest::mix;
 use std::time::Duration;
@@ -126,6 +126,111 @@
     }
 }
 
+#[test]
+fn reports_tell_of_all_verdicts_in_turn_and_first_what_recurs() {
+    let mut ledger = Ledger::new();
+    let mut other = Ledger::new();
+    for subject in 1_000..1_100 {
+        ledger.condemn(ms(0), subject);
+    }
+    for round in 0..5 {
+        other.receive(ms(round), &ledger.report(ms(round)), false);
+    }
+    assert_eq!(other.count_condemned(), 100);
+    // A lost data centre accuses hundreds of subjects once; one of them was on a crash before.
+    ledger.record_crash(ms(0), crash(1), &[900], &[]);
+    ledger.report(ms(0));
+    for subject in 0..901 {
+        ledger.record_crash(ms(5_000), crash(2), &[subject], &[]);
+    }
+    let told = ledger.report(ms(5_100)).accused;
+    assert!(told.iter().any(|(subject, ..)| *subject == 900), "{told:?}");
+}
+
+#[test]
+fn many_verdicts_displace_the_one_that_was_not_requested_for_the_longest_time() {
+    let mut ledger = Ledger::new();
+    for subject in 0..1_025 {
+        assert!(ledger.condemn(ms(subject), subject));
+    }
+    assert_eq!(ledger.count_condemned(), 1_024);
+    assert_eq!(ledger.remove_expired(ms(1_100)), [0], "so that it leaves the store too");
+}
+
+#[test]
+fn a_single_crash_condemns_a_subject_again_whose_verdict_has_lapsed() {
+    let mut ledger = Ledger::new();
+    ledger.condemn(ms(0), BAD);
+    let lapsed_at = CONDEMNED_LIFETIME;
+    assert_eq!(ledger.remove_expired(lapsed_at), [BAD]);
+    assert_eq!(decide(&mut ledger, lapsed_at + ms(1), &[BAD]), Decision::Free);
+    let at = lapsed_at + ms(60_000);
+    assert_eq!(ledger.record_crash(at, crash(9), &[BAD], &[]), [BAD]);
+    assert_eq!(decide(&mut ledger, at + ms(1), &[BAD]), Decision::Condemned(BAD));
+    // It is a matter of the software that runs, so it is not remembered for ever.
+    let day = Duration::from_secs(24 * 3_600);
+    assert_eq!(ledger.remove_expired(at + day), [BAD]);
+    ledger.remove_expired(at + day + day);
+    assert!(ledger.record_crash(at + day + day, crash(10), &[BAD], &[]).is_empty());
+}
+
+#[test]
+fn a_crash_under_two_trials_of_one_entry_condemns_neither_sooner() {
+    let mut ledger = Ledger::new();
+    let sound = 51;
+    ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
+    ledger.record_crash(ms(0), crash(1), &[sound], &[]);
+    for (number, at) in [(2, 2_000), (3, 4_000)] {
+        for subject in [BAD, sound] {
+            ledger.begin_trial(&[subject], crash(number));
+        }
+        for subject in [BAD, sound] {
+            let condemned = ledger.record_crash(ms(at), crash(number), &[subject], &[subject]);
+            assert!(condemned.is_empty(), "the third crash of {subject}");
+            ledger.end_trial(&[subject]);
+        }
+    }
+}
+
+#[test]
+fn a_failure_is_accused_once_its_upstream_turns_out_to_have_crashed() {
+    let mut ledger = Ledger::new();
+    ledger.record_failure(ms(0), crash(1), &[BAD], &[]);
+    assert_eq!(decide(&mut ledger, ms(10), &[BAD]), Decision::Free, "it may have been slow");
+    assert_eq!(ledger.record_end(ms(100), crash(2)), [Vec::new(), Vec::new()], "another one");
+    assert_eq!(ledger.record_end(ms(3_000), crash(1)), [vec![BAD], Vec::new()]);
+    assert_eq!(ledger.decide(ms(3_001), &[BAD], |_, _| Turn::Never), Decision::Suspect(BAD));
+    // While the outcome of a trial is open, nobody tries again.
+    ledger.begin_trial(&[BAD], crash(3));
+    ledger.record_failure(ms(4_000), crash(3), &[BAD], &[BAD]);
+    ledger.end_trial(&[BAD]);
+    assert_eq!(decide(&mut ledger, ms(5_000), &[BAD]), Decision::Suspect(BAD));
+    let mut other = Ledger::new();
+    other.receive(ms(5_000), &ledger.report(ms(5_000)), false);
+    assert_eq!(decide(&mut other, ms(5_001), &[BAD]), Decision::Suspect(BAD));
+    ledger.remove_expired(ms(10_000));
+    assert_eq!(decide(&mut ledger, ms(10_000), &[BAD]), Decision::Trial(vec![BAD]));
+    // The end of its upstream at another entry accuses what this one has lost there.
+    other.record_failure(ms(5_500), crash(4), &[SUBJECT], &[]);
+    let mut third = Ledger::new();
+    third.record_crash(ms(5_600), crash(4), &[FIRST], &[]);
+    other.receive(ms(5_700), &third.report(ms(5_700)), false);
+    assert_eq!(decide(&mut other, ms(6_800), &[SUBJECT]), Decision::Trial(vec![SUBJECT]));
+}
+
+#[test]
+fn one_place_of_several_is_kept_free_of_suspects() {
+    let places = |list: &[(&'static str, bool)]| list.iter().copied().collect();
+    assert_eq!(Reserve::choose(&places(&[("a", true)])), Reserve::Nothing);
+    assert_eq!(Reserve::choose(&places(&[("a", true), ("b", false)])), Reserve::Everything);
+    assert_eq!(Reserve::choose(&places(&[("a", false), ("b", false)])), Reserve::Everything);
+    let three = places(&[("a", true), ("b", true), ("c", true)]);
+    let Reserve::Place(kept) = Reserve::choose(&three) else { panic!("no place is kept") };
+    let without: std::collections::BTreeMap<&str, bool> =
+        three.iter().map(|(name, _)| (*name, *name != kept)).collect();
+    assert!(matches!(Reserve::choose(&without), Reserve::Place(other) if other != kept));
+}
+
 #[test]
 fn absurd_reports_are_harmless() {
     let mut ledger = Ledger::new();
