--- a/crates/filberttrail-stand-in/src/service.rs
+++ b/crates/filberttrail-stand-in/src/service.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Injected faults, set by `PUT /control/faults`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -20,8 +20,14 @@
     pub break_off: u32,
     /// Number of next actions that run, but get no response.
     pub silent: u32,
+    /// Body of the actions that end the instance which runs them; it is back after
+    /// [`RESTART_DELAY`]. Empty for none.
+    pub crash_on: String,
 }
 
+/// Time from the end of an instance until it listens again.
+pub const RESTART_DELAY: Duration = Duration::from_millis(100);
+
 #[derive(Default)]
 struct State {
     faults: Faults,
@@ -49,24 +55,39 @@
 
     /// Serves requests until `stop` is set.
     pub async fn run(self, listener: TcpListener, stop: watch::Receiver<bool>) {
-        crate::serve(listener, stop, move |request| self.clone().handle(request)).await;
+        let Ok(address) = listener.local_addr() else { return };
+        let mut listener = listener;
+        loop {
+            let crash = Arc::new(Notify::new());
+            let (service, crashes) = (self.clone(), crash.clone());
+            let handler = move |request| service.clone().handle(request, crashes.clone());
+            tokio::select! {
+                () = crate::serve(listener, stop.clone(), handler) => return,
+                () = crash.notified() => {}
+            }
+            tokio::time::sleep(RESTART_DELAY).await;
+            let Ok(next) = TcpListener::bind(address).await else { return };
+            listener = next;
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn handle(self, request: Request) -> Response {
+    async fn handle(self, request: Request, crash: Arc<Notify>) -> Response {
         let path = request.uri().path().trim_matches('/').to_string();
         let segments: Vec<&str> = path.split('/').collect();
         match (request.method().clone(), segments.as_slice()) {
             (Method::GET, ["control", "counts"]) => json(StatusCode::OK, &self.actions()),
             (Method::PUT, ["control", "faults"]) => self.set_faults(request).await,
             (Method::GET, ["meters", link]) => self.read_meter(link),
-            (Method::POST, ["payments"]) => self.run_action("payment", request).await,
-            (Method::POST, ["links", _, "energise"]) => self.run_action("energise", request).await,
+            (Method::POST, ["payments"]) => self.run_action("payment", request, &crash).await,
+            (Method::POST, ["links", _, "energise"]) => {
+                self.run_action("energise", request, &crash).await
+            }
             (Method::POST, ["links", _, "disconnect"]) => {
-                self.run_action("disconnect", request).await
+                self.run_action("disconnect", request, &crash).await
             }
             _ => json(StatusCode::NOT_FOUND, &"no such call"),
         }
@@ -88,7 +109,7 @@
         json(StatusCode::OK, &serde_json::json!({ "link": link, "reads": state.reads }))
     }
 
-    async fn run_action(&self, kind: &str, request: Request) -> Response {
+    async fn run_action(&self, kind: &str, request: Request, crash: &Notify) -> Response {
         let header = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
         let id = header("idempotency-key").or(header("x-request-id")).unwrap_or("none").to_string();
         let body = crate::read_body(request.into_body()).await;
@@ -108,7 +129,11 @@
         if faults.silent > 0 {
             tokio::time::sleep(Duration::from_secs(3_600)).await;
         }
-        if faults.break_off > 0 {
+        let crashes = !faults.crash_on.is_empty() && body == faults.crash_on.as_bytes();
+        if crashes {
+            crash.notify_one();
+        }
+        if faults.break_off > 0 || crashes {
             let (_, body) = Body::channel(1);
             let mut response = Response::new(body);
             response.headers_mut().insert("content-length", 64.into());
