Let components of the development estate listen below the system's ephemeral ports

Failure tests saw: 'Address already in use' when a component restarted, 2 of 20 runs beside other test programs. The system chose its port among those that it also gives to outgoing connections, and could give it away during the restart. Components now draw a port from 20,000 to 31,999, as the tests with processes do.

--- a/crates/filberttrail-dev/src/estate.rs
+++ b/crates/filberttrail-dev/src/estate.rs
@@ -238,11 +238,11 @@
     /// Binds the addresses of the entries for callers and for the admin interface.
     fn bind_entry_addresses(&mut self) -> Result<()> {
         for index in 0..sample::DATA_CENTRES.len() as u16 {
-            let port = match self.options.first_port {
-                0 => 0,
-                first => first + index,
+            let bound = match self.options.first_port {
+                0 => bind_any_port()?,
+                first => bind(SocketAddr::from((Ipv4Addr::LOCALHOST, first + index)))?,
             };
-            let caller_address = self.reserve(bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))?);
+            let caller_address = self.reserve(bound);
             let admin_address = self.reserve(bind_any_port()?);
             self.caller_addresses.push(caller_address);
             self.admin_addresses.push(admin_address);
--- a/crates/filberttrail-dev/src/listener.rs
+++ b/crates/filberttrail-dev/src/listener.rs
@@ -3,12 +3,18 @@
 
 use filberttrail_kernel::{Error, Result};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::time::Duration;
 
 /// Number of attempts to bind the address of a component that restarts, before the last one.
 const REBIND_ATTEMPTS: u32 = 50;
 /// The delay between two attempts.
 const REBIND_DELAY: Duration = Duration::from_millis(20);
+/// Range of the ports, below the system's ephemeral ports, so that none is given to a connection while
+/// the component that listens there restarts.
+const PORT_RANGE: Range<u16> = 20_000..32_000;
+/// Number of ports that are tried before the system chooses one.
+const PORT_ATTEMPTS: usize = 64;
 /// A listener and the local address that it is bound to.
 pub type BoundListener = (TcpListener, SocketAddr);
 
@@ -37,9 +43,14 @@
     bind(address)
 }
 
-/// Binds a loopback port that the system chooses.
+/// Binds a free loopback port from [`PORT_RANGE`].
 pub fn bind_any_port() -> Result<BoundListener> {
-    bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    let draw = || SocketAddr::from((Ipv4Addr::LOCALHOST, fastrand::u16(PORT_RANGE)));
+    let mut drawn = std::iter::repeat_with(draw).take(PORT_ATTEMPTS);
+    match drawn.find_map(|address| bind(address).ok()) {
+        Some(bound) => Ok(bound),
+        None => bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+    }
 }
 
 /// Registers a bound listener with the current Tokio runtime; logs an error and returns `None` on
