Claim the ports of a test process until it ends

Cause: free_ports told ports that were free at the moment. Processes with ids some 124 apart were given the same ones, and a port is unbound between two lives of the process that uses it. Now a process claims blocks of 50 ports by a listener on the first until it ends. The development estate draws its ports from 10,000 to 19,999, apart from these.

--- a/crates/filberttrail-dev/src/listener.rs
+++ b/crates/filberttrail-dev/src/listener.rs
@@ -11,8 +11,8 @@
 /// The delay between two attempts.
 const REBIND_DELAY: Duration = Duration::from_millis(20);
 /// Range of the ports, below the system's ephemeral ports, so that none is given to a connection while
-/// the component that listens there restarts.
-const PORT_RANGE: Range<u16> = 20_000..32_000;
+/// the component that listens there restarts. Tests that start processes use the ports above it.
+const PORT_RANGE: Range<u16> = 10_000..20_000;
 /// Number of ports that are tried before the system chooses one.
 const PORT_ATTEMPTS: usize = 64;
 /// A listener and the local address that it is bound to.
--- a/crates/filberttrail-test-support/src/process.rs
+++ b/crates/filberttrail-test-support/src/process.rs
@@ -5,8 +5,9 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 /// A child process, which is killed when this is dropped.
 pub struct Process {
@@ -80,24 +81,48 @@
 
 /// Range of the ports, below the system's ephemeral ports, so that the system cannot assign one to
 /// another socket while a test restarts the process that uses it.
-const PORT_RANGE: std::ops::Range<u16> = 20_000..32_000;
-/// Distance between the first ports of two successive process ids, so that concurrent test
-/// processes start in different parts of the range.
-const PROCESS_STRIDE: u32 = 97;
-/// Number of ports that this test process has tried.
-static PORTS_TRIED: AtomicU16 = AtomicU16::new(0);
-
-/// Returns loopback ports that are free at the moment. Each call in a process returns other ports,
-/// until the range has been used up.
+const PORT_RANGE: Range<u16> = 20_000..32_000;
+/// Number of ports that a test process claims at a time. The first of them is its claim.
+const BLOCK: u16 = 50;
+
+/// Ports that this test process has claimed.
+struct Block {
+    /// Held until the end of the process. Another one that can't bind it claims another block.
+    _claim: TcpListener,
+    unused: Range<u16>,
+}
+
+impl Block {
+    /// Claims the first free block after the one that the id of this process points to.
+    fn claim() -> Option<Self> {
+        let blocks = (PORT_RANGE.end - PORT_RANGE.start) / BLOCK;
+        let first = std::process::id() % u32::from(blocks);
+        (0..blocks).find_map(|offset| {
+            let number = (first as u16 + offset) % blocks;
+            let start = PORT_RANGE.start + number * BLOCK;
+            let claim = TcpListener::bind((Ipv4Addr::LOCALHOST, start)).ok()?;
+            Some(Self { _claim: claim, unused: start + 1..start + BLOCK })
+        })
+    }
+}
+
+/// The blocks of this process; the last one has unused ports.
+static BLOCKS: Mutex<Vec<Block>> = Mutex::new(Vec::new());
+
+/// Returns loopback ports that are free, and that no other test process is given until this one
+/// ends. Each call returns other ports.
+///
+/// # Panics
+///
+/// If all ports are in use.
 pub fn free_ports(count: usize) -> Vec<u16> {
-    let first = std::process::id().wrapping_mul(PROCESS_STRIDE);
+    let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     let mut free = Vec::new();
     while free.len() < count {
-        let tried = u32::from(PORTS_TRIED.fetch_add(1, Ordering::Relaxed));
-        let offset = first.wrapping_add(tried) % u32::from(PORT_RANGE.end - PORT_RANGE.start);
-        let port = PORT_RANGE.start + offset as u16;
-        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
-            free.push(port);
+        match blocks.last_mut().and_then(|block| block.unused.next()) {
+            Some(port) if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() => free.push(port),
+            Some(_) => {}
+            None => blocks.push(Block::claim().expect("a free block of ports")),
         }
     }
     free
