Let the soak send a request that crashes upstreams, and judge that it is stopped

A caller now sends one for 9 s at a time, among the other faults; it ends each upstream that runs it, and another instance is back after 0.6 s. The connection to the soak's upstreams goes through a proxy that always listens, so ends are known by registrations alone here.

A verdict test breaks the promise in the evidence of a sound run.

--- a/crates/filberttrail-soak/src/callers.rs
+++ b/crates/filberttrail-soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Simulated callers, each with one keep-alive connection to a gateway at a time.
 
+use crate::endpoint::HARMFUL_BODY;
 use crate::estate::{Estate, api_key};
 use crate::evidence::{Attempt, End};
 use filberttrail_platform_stand_in::{Call, Kind};
@@ -25,6 +26,8 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(40);
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause of the caller that sends harmful requests.
+const HARMFUL_INTERVAL: Duration = Duration::from_millis(120);
 /// On average, one in this many requests is sent with the API key before the current one.
 const PREVIOUS_KEY_ONE_IN: u32 = 10;
 /// On average, the caller cancels one in this many streams after the first chunk.
@@ -79,6 +82,29 @@
     }
 }
 
+/// Sends a request that ends each upstream which runs it to one gateway after the other, until the
+/// estate's time has reached `until`. The ids name the gateways.
+pub async fn run_harmful_caller(estate: Arc<Estate>, until: Duration) {
+    for number in 0_u64.. {
+        let now = estate.now();
+        if now >= until {
+            return;
+        }
+        let gateway = fastrand::usize(..estate.gateways.len());
+        let key = api_key(estate.current_key.load(Ordering::Relaxed));
+        let id = format!("harm-{gateway}-{}-{number}", now.as_millis());
+        let call = Call { id, kind: Kind::Read, key, timeout: REQUEST_TIMEOUT };
+        if let Some(mut connection) = connect(&estate, gateway).await {
+            let mut request = call.request();
+            *request.body_mut() = Body::new(HARMFUL_BODY);
+            let sending = connection.sender.send_request(request);
+            // The caller comes again whatever the answer.
+            let _ = tokio::time::timeout(REQUEST_TIMEOUT, sending).await;
+        }
+        tokio::time::sleep(HARMFUL_INTERVAL).await;
+    }
+}
+
 async fn connect(estate: &Estate, gateway: usize) -> Option<Connection> {
     let address = estate.gateways[gateway].front.address;
     let stream =
--- a/crates/filberttrail-soak/src/endpoint.rs
+++ b/crates/filberttrail-soak/src/endpoint.rs
@@ -3,9 +3,12 @@
 use crate::estate::{DATA_CENTRES, RESPONSE_DELAY, SERVICE, data_centre};
 use crate::link::Link;
 use filberttrail_platform::store::UPSTREAMS;
-use filberttrail_platform_stand_in::{Store, Upstream};
+use filberttrail_platform_stand_in::{Crash, Store, Trigger, Upstream};
 use std::io;
 
+/// Body of the requests that end the upstreams that run them.
+pub const HARMFUL_BODY: &str = "harmful";
+
 /// An upstream endpoint.
 pub struct Endpoint {
     index: usize,
@@ -47,5 +50,7 @@
 async fn start_upstream(index: usize, instance: usize) -> Upstream {
     let upstream = Upstream::start(&format!("upstream-{index}-{instance}")).await;
     upstream.set_delay(RESPONSE_DELAY);
+    let trigger = Trigger::Body(HARMFUL_BODY.as_bytes().to_vec());
+    upstream.set_crash(Crash { trigger, after: RESPONSE_DELAY, events: None, silent: false });
     upstream
 }
--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -1,9 +1,10 @@
 //! The estate under test: gateway processes, simulated upstreams, a simulated store and the links
 //! between them. Injects faults into them.
 
-use crate::endpoint::Endpoint;
+use crate::callers;
+use crate::endpoint::{Endpoint, HARMFUL_BODY};
 use crate::evidence::{
-    Component, DRAINING_TIME, Departure, Disturbance, Evidence, Key, Out, Run, Stop,
+    Component, DRAINING_TIME, Departure, Disturbance, Evidence, HarmfulRun, Key, Out, Run, Stop,
 };
 use crate::fault::{Fault, Hop, Impairment, Malfunction};
 use crate::gateway::Gateway;
@@ -28,6 +29,8 @@
 pub const STOP_GRACE: Duration = Duration::from_secs(8);
 /// Pause before a gateway's process is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Time from the end of an upstream until another instance takes over its address.
+const UPSTREAM_RESTART_DELAY: Duration = Duration::from_millis(600);
 /// Time within which all gateways must be ready at first. It covers the start of the processes and
 /// the first responses of the store, also on a busy VM.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
@@ -128,6 +131,9 @@
         for index in 0..size.gateways {
             tokio::spawn(estate.clone().supervise(index));
         }
+        for index in 0..size.upstreams {
+            tokio::spawn(estate.clone().replace_ended(index));
+        }
         estate.wait_until_ready().await?;
         Ok(estate)
     }
@@ -255,6 +261,10 @@
                 self.replace(index, false, duration).await;
                 Some(Component::Upstream(index))
             }
+            Fault::Harm(duration) => {
+                callers::run_harmful_caller(self.clone(), from + duration).await;
+                None
+            }
             Fault::Leave(index) => {
                 self.replace(index, true, DRAINING_TIME).await;
                 None
@@ -317,6 +327,26 @@
         upstream.clear_scripts();
     }
 
+    /// Replaces the upstreams at an endpoint that have ended by themselves.
+    async fn replace_ended(self: Arc<Self>, index: usize) {
+        while !self.is_shutting_down.load(Ordering::Relaxed) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+            let ended = self.endpoints[index]
+                .try_lock()
+                .is_ok_and(|endpoint| endpoint.upstream.has_ended());
+            if ended {
+                let from = self.now();
+                self.replace(index, false, UPSTREAM_RESTART_DELAY).await;
+                self.evidence().disturbances.push(Disturbance {
+                    from,
+                    to: self.now(),
+                    component: Component::Upstream(index),
+                    planned: false,
+                });
+            }
+        }
+    }
+
     /// Replaces the upstream at an endpoint by another instance with the same address. If
     /// announced, the upstream is registered as draining for this time before it stops; otherwise
     /// it stops immediately, and its registration is removed after this time.
@@ -391,6 +421,13 @@
                         .received_at
                         .map(|at| at.duration_since(self.started_at))
                         .unwrap_or_default();
+                    if run.body == HARMFUL_BODY.as_bytes() {
+                        let gateway = run.request_id.split('-').nth(1);
+                        let gateway = gateway.and_then(|index| index.parse().ok());
+                        let gateway = gateway.unwrap_or_default();
+                        evidence.harmful_runs.push(HarmfulRun { gateway, at });
+                        continue;
+                    }
                     let faithful = caller::is_forwarded_unchanged(&run);
                     let instance = upstream.id.clone();
                     let request = run.request_id;
--- a/crates/filberttrail-soak/src/evidence.rs
+++ b/crates/filberttrail-soak/src/evidence.rs
@@ -75,6 +75,15 @@
     pub faithful: bool,
 }
 
+/// One execution of a request that ends its upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HarmfulRun {
+    /// Index of the gateway that sent it.
+    pub gateway: usize,
+    /// When the upstream had received the complete request.
+    pub at: Duration,
+}
+
 /// A component of the estate that a disturbance affects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Component {
@@ -146,6 +155,8 @@
     pub attempts: Vec<Attempt>,
     /// Executions by upstreams, grouped by upstream instance.
     pub runs: Vec<Run>,
+    /// The executions of the requests that end upstreams, which are not among the others.
+    pub harmful_runs: Vec<HarmfulRun>,
     /// Periods in which a fault or a start of a process affected a component.
     pub disturbances: Vec<Disturbance>,
     /// Planned stops of gateways.
--- a/crates/filberttrail-soak/src/fault.rs
+++ b/crates/filberttrail-soak/src/fault.rs
@@ -87,6 +87,9 @@
     /// Stops an upstream without notice. Another instance takes over its address after this time.
     #[display("upstream {_0} ends, replaced after {_1:?}")]
     Crash(usize, Duration),
+    /// A caller sends a request that ends each upstream which runs it, over and over for this time.
+    #[display("a request that crashes upstreams comes for {_0:?}")]
+    Harm(Duration),
     /// Drains an upstream and then replaces it by another instance. Planned work.
     #[display("upstream {_0} leaves")]
     Leave(usize),
--- a/crates/filberttrail-soak/src/plan.rs
+++ b/crates/filberttrail-soak/src/plan.rs
@@ -49,6 +49,9 @@
 /// Upper bound of the pause from one fault to the next, in milliseconds. It is shorter than most
 /// faults last, so that faults overlap.
 const MAX_GAP_MS: u64 = 700;
+/// Duration for which a crashing request comes. It is longer than the 4 s from the third crash after
+/// which the verdict counts the requests that still reach upstreams.
+const HARM_TIME: Duration = Duration::from_millis(9_000);
 /// Upper bound of the duration of an unplanned fault, in milliseconds.
 const MAX_FAULT_MS: u64 = 2_500;
 
@@ -69,7 +72,9 @@
                 at += Duration::from_millis(rng.u64(..MAX_GAP_MS));
             }
         }
-        let undisturbed_from = at + Duration::from_millis(MAX_FAULT_MS);
+        let last_harm = steps.iter().filter(|step| matches!(step.fault, Fault::Harm(_)));
+        let last_harm = last_harm.map(|step| step.at + HARM_TIME).max().unwrap_or_default();
+        let undisturbed_from = last_harm.max(at + Duration::from_millis(MAX_FAULT_MS));
         Self { steps, undisturbed_from, end: undisturbed_from + RECOVERY_TIME }
     }
 }
@@ -123,6 +128,8 @@
         }
         11..=13 => Fault::Misbehave(upstream, rng.usize(1..8)),
         14 => Fault::Slow(upstream, duration),
+        // No further draw, as above.
+        _ if duration.as_millis() % 2 == 1 => Fault::Harm(HARM_TIME),
         _ => Fault::Crash(upstream, duration),
     }
 }
--- a/crates/filberttrail-soak/src/verdict.rs
+++ b/crates/filberttrail-soak/src/verdict.rs
@@ -1,6 +1,6 @@
 //! The verdict on a run: checks each promise against the evidence.
 
-use crate::evidence::{Attempt, Component, End, Evidence, Run};
+use crate::evidence::{Attempt, Component, End, Evidence, HarmfulRun, Run};
 use filberttrail_bench::failures::{Promise, Report};
 use filberttrail_fleet::budget::Terms;
 use filberttrail_platform_stand_in::{Kind, caller};
@@ -46,6 +46,7 @@
     report.add(check_stops(evidence, &runs, bounds));
     report.add(check_processes(evidence));
     report.add(check_recovery(evidence, &runs, bounds));
+    report.add(check_harmful_runs(evidence, bounds));
     report
 }
 
@@ -282,3 +283,26 @@
     }
     promise
 }
+
+/// Number of upstreams that a request may end before it counts as harmful, and of times that it may
+/// reach an upstream after that.
+const HARMFUL_RUNS: usize = 3;
+
+/// Checks that a request that ends each upstream which runs it stops reaching them: some time after
+/// the third, undisturbed gateways send it a few times more at most.
+fn check_harmful_runs(evidence: &Evidence, bounds: &Bounds) -> Promise {
+    let mut promise = Promise::new("a request that crashes upstreams is stopped", "blame");
+    let mut runs: Vec<&HarmfulRun> = evidence.harmful_runs.iter().collect();
+    runs.sort_by_key(|run| run.at);
+    let Some(third) = runs.get(HARMFUL_RUNS - 1) else { return promise };
+    let counts = |run: &&&HarmfulRun| {
+        let from = run.at.saturating_sub(bounds.settle);
+        run.at > third.at + bounds.settle
+            && [Component::Gateway(run.gateway), Component::Store]
+                .iter()
+                .all(|component| evidence.is_undisturbed(*component, from, run.at))
+    };
+    let late: Vec<_> = runs.iter().filter(counts).collect();
+    promise.record_case((late.len() > HARMFUL_RUNS).then(|| format!("{late:?} after {third:?}")));
+    promise
+}
--- a/crates/filberttrail-soak/tests/plan.rs
+++ b/crates/filberttrail-soak/tests/plan.rs
@@ -59,6 +59,7 @@
     let all = [
         "Crash",
         "Freeze",
+        "Harm",
         "Kill",
         "Leave",
         "Link",
--- a/crates/filberttrail-soak/tests/verdict.rs
+++ b/crates/filberttrail-soak/tests/verdict.rs
@@ -4,7 +4,7 @@
 use filberttrail_bench::failures::Report;
 use filberttrail_platform_stand_in::Kind;
 use filberttrail_soak::evidence::{
-    Attempt, Component, Departure, Disturbance, End, Evidence, Key, Out, Run, Stop,
+    Attempt, Component, Departure, Disturbance, End, Evidence, HarmfulRun, Key, Out, Run, Stop,
 };
 use filberttrail_soak::run::BOUNDS;
 use filberttrail_soak::verdict::judge;
@@ -189,3 +189,22 @@
     attempt_sent_at(&mut evidence, 59_000 * MS).end = status(502);
     assert_eq!(find_broken_promises(&evidence), ["all is served again after the faults"]);
 }
+
+#[test]
+fn detects_a_harmful_request_that_goes_on_to_reach_upstreams() {
+    let mut evidence = create_correct_evidence();
+    let run = |at: u32| HarmfulRun { gateway: 0, at: at * MS };
+    evidence.harmful_runs = [1_000, 1_100, 1_200, 6_000, 6_100, 6_200].map(run).to_vec();
+    assert_eq!(find_broken_promises(&evidence), Vec::<String>::new(), "three more are allowed");
+    evidence.harmful_runs.push(run(40_000));
+    let broken = find_broken_promises(&evidence);
+    assert_eq!(broken, ["a request that crashes upstreams is stopped"]);
+    // A gateway that was frozen shortly before may not know of it yet.
+    evidence.disturbances.push(Disturbance {
+        from: 39_000 * MS,
+        to: 39_500 * MS,
+        component: Component::Gateway(0),
+        planned: false,
+    });
+    assert_eq!(find_broken_promises(&evidence), Vec::<String>::new());
+}
