Let an entry that starts without the store hear of all verdicts before it serves

Callers could see: an entry that starts while the store is away serves after the first message of another one, which tells 24 condemned subjects of perhaps more, and sends a request that the others refuse.

Change: a message says how many verdicts its sender knows, in place of whether it knows all; the entry serves once it has heard of as many.

platform/tests/verdicts.rs failed with the number told but not compared, which is what was done before.

--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -69,7 +69,7 @@
     /// What is blamed for crashes.
     #[serde(default)]
     pub blame: Report,
-    /// Whether the entry knows all condemned subjects, which may be more than a report contains.
+    /// Number of condemned subjects, if the entry knows all of them. A report contains some.
     #[serde(default)]
-    pub verdicts_known: bool,
+    pub verdicts: Option<u32>,
 }
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -307,7 +307,8 @@
         hub.blame.receive(&blame, pass_on);
         hub.pause_crashed(&blame);
         hub.record_news();
-        if message.verdicts_known {
+        let known = hub.blame.count_condemned();
+        if message.verdicts.is_some_and(|verdicts| known >= verdicts as usize) {
             hub.note_verdicts_known();
         }
         hub.record_heard(&data_centre, Duration::ZERO);
@@ -477,7 +478,7 @@
         leaving: hub.leaving_upstreams(),
         limits: hub.told_limits(),
         blame: hub.blame.report(),
-        verdicts_known: hub.knows_verdicts(),
+        verdicts: hub.knows_verdicts().then(|| hub.blame.count_condemned() as u32),
     }
 }
 
