--- a/crates/filberttrail-fleet/src/blame/mod.rs
+++ b/crates/filberttrail-fleet/src/blame/mod.rs
@@ -20,13 +20,11 @@
 mod ledger;
 mod report;
 mod reserve;
+mod subject;
 
 pub use crash::Crash;
 pub use decision::{Decision, Turn};
 pub use ledger::{CONDEMNED_LIFETIME, Ledger, TRIAL_ENTRIES, has_lived};
 pub use report::Report;
 pub use reserve::Reserve;
-
-/// The hash of something that requests hold: of a service's name and the id of a prompt part, or of
-/// all that a request asks for.
-pub type SubjectId = u64;
+pub use subject::SubjectId;
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -2,9 +2,9 @@
 //! and retries it where its route allows that.
 
 use crate::blame::format_subject;
-use crate::broken::Broken;
 use crate::caller_request::CallerRequest;
 use crate::exchange::{self, Failed, UpstreamResponse};
+use crate::failure::Failure;
 use crate::outcome::Outcome;
 use crate::permit::Permit;
 use crate::relay::{Relay, Source};
@@ -143,12 +143,12 @@
             }
             Err(failed) => {
                 drop(permit);
-                Err(Broken { failed, trial: Some(trial) })
+                Err(Failure { failed, trial: Some(trial) })
             }
         };
-        let Broken { failed, trial } = match received {
+        let Failure { failed, trial } = match received {
             Ok(response) => return response,
-            Err(broken) => broken,
+            Err(failure) => failure,
         };
         record_failure(hub, caller_request, attempts, &failed, &id);
         if let Some(trial) = trial {
@@ -308,7 +308,7 @@
     permit: Permit,
     mut trial: Trial,
     response: UpstreamResponse,
-) -> Result<Response, Broken> {
+) -> Result<Response, Failure> {
     if caller_request.route.kind == Kind::Stream && response.head.status.is_success() {
         let head = response_head(hub, &response.head, true);
         let source = Source::new(permit, trial, response);
@@ -321,7 +321,7 @@
     let UpstreamResponse { head, body, connection } = response;
     let body = match hub.memory.read(body).await {
         Ok(body) => body,
-        Err(failed) => return Err(Broken { failed, trial: Some(trial) }),
+        Err(failed) => return Err(Failure { failed, trial: Some(trial) }),
     };
     // `None` means that the upstream closes the connection, and `Some(None)` that it announces no
     // idle timeout.
@@ -336,7 +336,7 @@
     {
         let failed = Failed::Unusable(format!("status {}", head.status));
         trial.cancel();
-        return Err(Broken { failed, trial: None });
+        return Err(Failure { failed, trial: None });
     }
     // Some upstreams report a failure without running the request, so that clears nothing.
     match failed {
--- a/crates/filberttrail-gateway/src/broken.rs
+++ b/crates/filberttrail-gateway/src/failure.rs
@@ -4,7 +4,7 @@
 use crate::trial::Trial;
 
 /// An attempt that came to nothing.
-pub struct Broken {
+pub struct Failure {
     /// Why it failed.
     pub failed: Failed,
     /// The trial, whose outcome is not recorded yet. `None` if the upstream survived the request.
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod allowance;
 pub mod blame;
-pub mod broken;
 pub mod call;
 pub mod caller_request;
 pub mod connection;
@@ -11,6 +10,7 @@
 pub mod currency;
 pub mod daemon;
 pub mod exchange;
+pub mod failure;
 pub mod follow;
 pub mod headers;
 pub mod hub;
--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -1,11 +1,11 @@
 //! Forwards a stream event by event, and resumes it at another upstream if it breaks off.
 
 use crate::Hub;
-use crate::broken::Broken;
 use crate::call::{self, Attempts};
 use crate::caller_request::CallerRequest;
 use crate::connection::Connection;
 use crate::exchange::{self, Failed, UpstreamResponse};
+use crate::failure::Failure;
 use crate::outcome::Outcome;
 use crate::permit::Permit;
 use crate::slot_request::Refusal;
@@ -73,7 +73,7 @@
         caller_request: Arc<CallerRequest>,
         attempts: Attempts,
         source: Source,
-    ) -> Result<Self, Broken> {
+    ) -> Result<Self, Failure> {
         let splitter = Splitter::new(caller_request.after_event);
         let started_at = hub.now();
         let target = Target::new(&source.permit);
@@ -103,7 +103,7 @@
                 Ok(first) => break first,
                 Err(failed) => {
                     let trial = relay.source.take().and_then(|source| source.trial);
-                    return Err(Broken { failed, trial });
+                    return Err(Failure { failed, trial });
                 }
             }
         };
