Record the end of a crashing upstream when it ends, not when the soak polls it

Cause: the judge, not the gateway. Such a stream is allowed to end if its upstream was disturbed. An upstream that a crashing request ends was recorded as disturbed from the moment at which the soak's poll noticed, up to some 10 ms after the callers had seen their streams break; ends within that time counted as unexplained.

Change: the stand-in upstream notes when it ends, before any connection shows it, and the soak records that time, also for one that ends while it drains or just before a planned fault replaces it. The check is as strict as before: only the evidence is exact.

--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -335,14 +335,7 @@
                 .try_lock()
                 .is_ok_and(|endpoint| endpoint.upstream.has_ended());
             if ended {
-                let from = self.now();
                 self.replace(index, false, UPSTREAM_RESTART_DELAY).await;
-                self.evidence().disturbances.push(Disturbance {
-                    from,
-                    to: self.now(),
-                    component: Component::Upstream(index),
-                    planned: false,
-                });
             }
         }
     }
@@ -362,9 +355,19 @@
         }
         tokio::time::sleep(duration).await;
         self.store.remove(UPSTREAMS, &endpoint.upstream.id);
+        let ended_at = endpoint.upstream.ended_at();
         endpoint.upstream.stop();
         endpoint.replace().await;
         endpoint.register(&self.store, "ready");
+        // Callers see an end before it is polled, so the disturbance begins when the upstream ended.
+        if let Some(ended_at) = ended_at {
+            self.evidence().disturbances.push(Disturbance {
+                from: ended_at.duration_since(self.started_at),
+                to: self.now(),
+                component: Component::Upstream(index),
+                planned: false,
+            });
+        }
     }
 
     async fn replace_key(&self) {
