Stop requests that crash upstreams behind sidecars

Entries and sidecars treat each attempt by itself; only gateways had a ledger of what is blamed for crashes.

Weighed: a ledger in entries alone (one that has not heard would send); sidecars that don't tell each other (each has to lose its own upstream three times). Chosen: the sidecar, the only gate to its upstream, decides with the same fleet::blame::Ledger; entries pass reports on to all their sidecars, refuse what is condemned at once and offer a suspect only to the places that may try it, one of which is always left out. The probe for a crash moved from the gateway to the web crate, so that both use one. An unrepeatable call that is refused after an attempt which may have run is no longer said not to have run: the first try of the new test found "ran: no" after a crash.

Not done: parts of prompts as subjects, stored verdicts and services that fall silent, behind sidecars.

--- a/crates/filberttrail-declare/src/view.rs
+++ b/crates/filberttrail-declare/src/view.rs
@@ -86,6 +86,15 @@
         Some(&group.model)
     }
 
+    /// Returns the upstreams in service that run the same model or service as an upstream.
+    pub fn peers_of(&self, upstream: &Upstream) -> Vec<&Upstream> {
+        let same = match self.model_of(upstream) {
+            Some(model) => self.upstreams_of_model(model),
+            None => self.upstreams_of_service(upstream.service.as_deref().unwrap_or_default()),
+        };
+        same.into_iter().filter(|item| !self.is_out(item)).collect()
+    }
+
     /// Returns the upstream with this name.
     pub fn upstream(&self, name: &str) -> Option<&Upstream> {
         self.declarations.estate.upstreams.iter().find(|item| item.name == name)
--- a/crates/filberttrail-entry/src/admin.rs
+++ b/crates/filberttrail-entry/src/admin.rs
@@ -27,6 +27,7 @@
             context.metrics.waiting.set(waiting.into());
             let generation = context.view().map_or(0, |view| view.manifest.generation);
             context.metrics.generation.set(generation as i64);
+            context.metrics.condemned.set(context.blame.count_condemned() as i64);
             context.metrics.platform_calls.set(platform.calls() as i64);
             Response::new(Body::new(context.metrics.text()))
         }
--- a/crates/filberttrail-entry/src/call.rs
+++ b/crates/filberttrail-entry/src/call.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use filberttrail_declare::View;
 use filberttrail_declare::model::Team;
-use filberttrail_kernel::digest::{sha256_hex, stable_hash};
+use filberttrail_fleet::blame::SubjectId;
+use filberttrail_kernel::digest::{StableHasher, sha256_hex, stable_hash};
 use filberttrail_protocol::frame::Key;
 use filberttrail_route::{Request, prefix};
 use filberttrail_web::Problem;
@@ -47,6 +48,8 @@
     pub repeatable: bool,
     /// The idempotency key, for an unrepeatable request that has one.
     pub key: Option<Key>,
+    /// Hash of what the request asks for, see [`digest`].
+    pub subject: SubjectId,
     /// The request's properties that the routing policy uses.
     pub route: Request,
 }
@@ -104,6 +107,7 @@
         target: Target::Model(model.to_string()),
         method: Method::POST.to_string(),
         path: path.to_string(),
+        subject: digest(&team.name, model, Method::POST.as_str(), path, &body),
         body,
         repeatable: true,
         key: None,
@@ -111,6 +115,17 @@
     })
 }
 
+/// Returns a hash of what a request asks for: the team, the model or service, the method, the path with
+/// its query, and the body. Requests that differ in other headers, such as their idempotency key, ask
+/// for the same.
+fn digest(team: &str, target: &str, method: &str, path: &str, body: &[u8]) -> SubjectId {
+    let mut hasher = StableHasher::new();
+    for field in [team.as_bytes(), target.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
+        hasher.write_field(field);
+    }
+    hasher.finish()
+}
+
 fn extract_prompt(
     object: &serde_json::Map<String, serde_json::Value>,
     chat: bool,
@@ -163,6 +178,7 @@
         team: team.name.clone(),
         weight: team.weight,
         target: Target::Service(name.to_string()),
+        subject: digest(&team.name, name, method.as_str(), &path, &body),
         method: method.to_string(),
         path,
         body,
--- a/crates/filberttrail-entry/src/context.rs
+++ b/crates/filberttrail-entry/src/context.rs
@@ -10,6 +10,7 @@
 use filberttrail_kernel::clock;
 use filberttrail_kernel::id::Incarnation;
 use filberttrail_limit::Budget;
+use filberttrail_relay::Blame;
 use filberttrail_route::{Index, Policy};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,6 +36,8 @@
     pub journal: Journal,
     /// The entry's metrics.
     pub metrics: Metrics,
+    /// What is blamed for crashes of upstreams.
+    pub blame: Arc<Blame>,
     /// Whether the entry is shutting down; it then reports that it is not ready.
     pub leaving: AtomicBool,
     next_number: AtomicU64,
@@ -63,6 +66,7 @@
         policy: &'static Policy,
     ) -> Self {
         let random = Rng::with_seed(incarnation);
+        let blame = Arc::new(Blame::new(clock.clone()));
         let routing = Routing { prefixes: Index::new(), budget: Budget::new(0), random };
         Self {
             settings,
@@ -74,12 +78,19 @@
             policy,
             journal: Journal::new(),
             metrics: Metrics::new(),
+            blame,
             leaving: AtomicBool::new(false),
             next_number: AtomicU64::new(1),
             routing: Mutex::new(routing),
         }
     }
 
+    /// Sets the ledger that the entry shares with its replicator.
+    pub fn with_blame(mut self, blame: Arc<Blame>) -> Self {
+        self.blame = blame;
+        self
+    }
+
     /// Returns the configuration in force, or `None` if none has arrived yet.
     pub fn view(&self) -> Option<Arc<View>> {
         self.view.borrow().clone()
--- a/crates/filberttrail-entry/src/daemon.rs
+++ b/crates/filberttrail-entry/src/daemon.rs
@@ -9,7 +9,7 @@
 use filberttrail_kernel::{Mechanism, Result, clock, plugin};
 use filberttrail_protocol::link::Identity;
 use filberttrail_relay::replicator::Source;
-use filberttrail_relay::{Replicator, RuntimeHandles};
+use filberttrail_relay::{Blame, Replicator, RuntimeHandles};
 use filberttrail_store::status::Status;
 use filberttrail_store::{Platform, follow, status as platform_status};
 use filberttrail_web::server::{self, Limits};
@@ -104,16 +104,24 @@
     let clock = clock::System::shared();
     let identity =
         Identity { name: settings.name.clone(), incarnation, secret: settings.secret.clone() };
+    let blame = Arc::new(Blame::new(clock.clone()).with_passing_on());
     let (replicator, view) = {
         let _control = runtimes.control.enter();
-        Replicator::start(settings.name.clone(), Some(platform), Source::Watch, &settings.disabled)
+        Replicator::start(
+            settings.name.clone(),
+            Some(platform),
+            Source::Watch,
+            &settings.disabled,
+            blame.clone(),
+        )
     };
     let subset = settings.subset;
     let ordered = settings.disabled.is_enabled(Mechanism::Assembly);
     let pool = Pool::new(identity, replicator, clock.clone(), runtimes.traffic.clone(), ordered);
     let pool = pool.with_subset(subset);
     let gate = Arc::new(Gate::new(&initial_preset(), clock.clone()));
-    Ok(Arc::new(Context::new(settings, incarnation, clock, view, pool, gate, policy)))
+    let context = Context::new(settings, incarnation, clock, view, pool, gate, policy);
+    Ok(Arc::new(context.with_blame(blame)))
 }
 
 /// Returns the limits that apply until the first configuration arrives.
--- a/crates/filberttrail-entry/src/dispatch.rs
+++ b/crates/filberttrail-entry/src/dispatch.rs
@@ -9,6 +9,8 @@
 use crate::journal::Decision;
 use crate::upstream::Upstream;
 use filberttrail_declare::View;
+use filberttrail_declare::model;
+use filberttrail_fleet::blame::{self, CONDEMNED_LIFETIME, choose_trial_places};
 use filberttrail_kernel::Mechanism;
 use filberttrail_kernel::digest::mix;
 use filberttrail_protocol::frame::{Failure, Head};
@@ -27,6 +29,12 @@
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// The suggested delay before a retry when no better estimate is available.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The suggested delay before a retry of a request that is suspected to crash upstreams. Whether it may
+/// be tried is known by then.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// The delay before an attempt after one under which an upstream crashed, so that all sidecars know by
+/// then what the crash accuses.
+const NEWS_DELAY: Duration = Duration::from_millis(200);
 /// The assumed round-trip time to an upstream in the same data centre.
 const SAME_DATA_CENTRE_RTT: Duration = Duration::from_micros(100);
 /// The assumed round-trip time to another data centre of the same region.
@@ -54,24 +62,61 @@
     Fail(Box<Problem>),
 }
 
-/// Runs a call until a response head arrives or no further attempt is possible.
+/// Which upstreams an attempt may be sent to.
+#[derive(Default)]
+struct Candidates {
+    /// Those that earlier attempts have excluded.
+    excluded: HashSet<String>,
+    /// Those that may try the call if it is a suspect; `None` if it is none.
+    trial_places: Option<Vec<String>>,
+}
+
+impl Candidates {
+    fn contain(&self, name: &String) -> bool {
+        let is_place = self.trial_places.as_ref().is_none_or(|places| places.contains(name));
+        is_place && !self.excluded.contains(name)
+    }
+}
+
+/// Runs a call until a response head arrives or no further attempt is possible. If an attempt of an
+/// unrepeatable call may have run, a later refusal doesn't say that the call did not run.
 pub async fn dispatch(context: &Context, call: &Call) -> Result<UpstreamResponse, Problem> {
+    let mut may_have_run = false;
+    let result = run_attempts(context, call, &mut may_have_run).await;
+    result.map_err(|problem| match may_have_run && !call.repeatable {
+        true => problem.with_unknown_outcome(),
+        false => problem,
+    })
+}
+
+async fn run_attempts(
+    context: &Context,
+    call: &Call,
+    may_have_run: &mut bool,
+) -> Result<UpstreamResponse, Problem> {
     let started = context.clock.now();
-    let mut excluded = HashSet::new();
+    let mut candidates = Candidates::default();
     let mut cause = "first try".to_string();
+    let mut crashed = false;
     context.routing().budget.deposit();
     for _ in 0..MAX_ATTEMPTS {
-        let upstream = find_upstream(context, call, &mut excluded, started, &cause).await?;
+        candidates.trial_places = find_trial_places(context, call, crashed)?;
+        let upstream = find_upstream(context, call, &mut candidates, started, &cause).await?;
         let remaining = context.settings.request_wait.saturating_sub(context.clock.now() - started);
-        let failure = match run_attempt(context, call, &upstream, remaining).await {
+        let failure = match run_attempt(context, call, &upstream, remaining, crashed).await {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
-        excluded.insert(upstream.name.clone());
+        candidates.excluded.insert(upstream.name.clone());
+        *may_have_run |= failure.ran == Ran::Unknown;
         match decide_next(context, call, &failure) {
             Next::Fail(problem) => return Err(refuse(context, call, *problem, failure.cause)),
             Next::Retry(previous) => cause = format!("after {previous}"),
         }
+        if failure.cause == Cause::Crashed {
+            crashed = true;
+            tokio::time::sleep(NEWS_DELAY).await;
+        }
         context.metrics.retries.inc();
     }
     let problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no upstream took it", "try later")
@@ -79,11 +124,51 @@
     Err(refuse(context, call, problem, Cause::Full))
 }
 
+/// Returns the upstreams that may try a call if it is suspected to crash upstreams. Refuses a call
+/// that does, or that is tried already.
+fn find_trial_places(
+    context: &Context,
+    call: &Call,
+    crashed: bool,
+) -> Result<Option<Vec<String>>, Problem> {
+    if !context.settings.disabled.is_enabled(Mechanism::Blame) {
+        return Ok(None);
+    }
+    let cause = match context.blame.decide(call.subject, crashed, true) {
+        blame::Decision::Free => return Ok(None),
+        blame::Decision::Trial(_) => {
+            let Some(view) = context.view() else { return Ok(None) };
+            let serving = upstreams_of(&view, call).into_iter().filter(|item| !view.is_out(item));
+            let names: Vec<&str> = serving.map(|item| item.name.as_str()).collect();
+            let places = choose_trial_places(call.subject, &names);
+            return Ok(Some(places.into_iter().map(str::to_string).collect()));
+        }
+        blame::Decision::Suspect(_) => Cause::Suspect,
+        blame::Decision::Condemned(_) => Cause::Harmful,
+    };
+    Err(refuse(context, call, report_blame(cause), cause))
+}
+
+/// Returns the problem of a call that must not be run for what is blamed for crashes.
+fn report_blame(cause: Cause) -> Problem {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    match cause {
+        Cause::Harmful => {
+            let detail = "it crashes upstreams: change it, or come back after Retry-After";
+            Problem::new(status, "harmful request", detail).with_retry_after(CONDEMNED_LIFETIME)
+        }
+        _ => {
+            let detail = "an upstream crashed under it: come back after Retry-After";
+            Problem::new(status, "suspected request", detail).with_retry_after(SUSPECT_RETRY_AFTER)
+        }
+    }
+}
+
 /// Returns an upstream with free capacity, waiting for one up to the preset's queue wait.
 async fn find_upstream(
     context: &Context,
     call: &Call,
-    excluded: &mut HashSet<String>,
+    candidates: &mut Candidates,
     started: Duration,
     cause: &str,
 ) -> Result<Arc<Upstream>, Problem> {
@@ -95,9 +180,17 @@
             let problem = unavailable("no configuration yet", "try again in a moment");
             return Err(refuse(context, call, problem, Cause::Platform));
         };
-        if let Some(upstream) = choose(context, &view, call, excluded, cause) {
+        if let Some(upstream) = choose(context, &view, call, candidates, cause) {
             return Ok(upstream);
         }
+        if let Some(places) = &candidates.trial_places {
+            let is_left = |name: &&String| candidates.contain(name);
+            let mut left = places.iter().filter(is_left).filter_map(|name| context.pool.find(name));
+            if !left.any(|upstream| upstream.load().is_some()) {
+                let cause = Cause::Suspect;
+                return Err(refuse(context, call, report_blame(cause), cause));
+            }
+        }
         let timeout = view.preset.queue_wait().min(context.settings.request_wait);
         let remaining = timeout.saturating_sub(context.clock.now() - started);
         if remaining.is_zero() {
@@ -105,7 +198,7 @@
             return Err(refuse(context, call, problem, Cause::Full));
         }
         // Upstreams that rejected the call earlier may have capacity by now.
-        excluded.clear();
+        candidates.excluded.clear();
         let _ = tokio::time::timeout(remaining, changed).await;
     }
 }
@@ -119,20 +212,24 @@
     problem.with_request(&call.id)
 }
 
+fn upstreams_of<'a>(view: &'a View, call: &Call) -> Vec<&'a model::Upstream> {
+    match &call.target {
+        Target::Model(model) => view.upstreams_of_model(model),
+        Target::Service(service) => view.upstreams_of_service(service),
+    }
+}
+
 fn choose(
     context: &Context,
     view: &View,
     call: &Call,
-    excluded: &HashSet<String>,
+    candidates: &Candidates,
     cause: &str,
 ) -> Option<Arc<Upstream>> {
     let outs = context.settings.disabled.is_enabled(Mechanism::Outs);
-    let declared = match &call.target {
-        Target::Model(model) => view.upstreams_of_model(model),
-        Target::Service(service) => view.upstreams_of_service(service),
-    };
+    let declared = upstreams_of(view, call);
     let in_service = declared.iter().filter(|item| !outs || !view.is_out(item));
-    let usable = in_service.filter(|item| !excluded.contains(&item.name));
+    let usable = in_service.filter(|item| candidates.contain(&item.name));
     let known: Vec<(Arc<Upstream>, Candidate)> = usable
         .filter_map(|item| context.pool.find(&item.name))
         .filter_map(|upstream| Some((upstream.clone(), candidate(context, view, call, &upstream)?)))
@@ -210,6 +307,7 @@
     call: &Call,
     upstream: &Arc<Upstream>,
     timeout: Duration,
+    crashed: bool,
 ) -> Result<UpstreamResponse, Failure> {
     let number = context.next_number();
     let offer = Offer {
@@ -222,6 +320,8 @@
         body: call.body.clone(),
         repeatable: call.repeatable,
         key: call.key.clone(),
+        subject: call.subject,
+        crashed,
         patience_ms: timeout.as_millis() as u64,
     };
     let Some(mut events) = upstream.offer(offer) else {
@@ -294,6 +394,9 @@
             let detail = "too many keys are remembered: try later";
             fail(StatusCode::SERVICE_UNAVAILABLE, "claims full", detail)
         }
+        (cause @ (Cause::Suspect | Cause::Harmful), Ran::No) => {
+            Next::Fail(Box::new(report_blame(cause)))
+        }
         // Nothing was run, so a retry adds no load and is not charged to the retry budget.
         (cause, Ran::No) => Next::Retry(cause),
         (cause, Ran::Unknown) if call.repeatable || call.key.is_some() => {
--- a/crates/filberttrail-entry/src/metrics.rs
+++ b/crates/filberttrail-entry/src/metrics.rs
@@ -22,6 +22,8 @@
     pub waiting: IntGauge,
     /// The generation of the configuration in force; 0 if there is none.
     pub generation: IntGauge,
+    /// Requests that are refused because they crash upstreams, counted once each.
+    pub condemned: IntGauge,
     /// Calls made to the platform since the start.
     pub platform_calls: IntGauge,
 }
@@ -45,6 +47,8 @@
         let waiting = register_gauge(&registry, "filberttrail_waiting", "Requests that wait");
         let generation =
             register_gauge(&registry, "filberttrail_generation", "The generation applied");
+        let help = "Requests that crash upstreams";
+        let condemned = register_gauge(&registry, "filberttrail_condemned_subjects", help);
         let platform_calls =
             register_gauge(&registry, "filberttrail_store_calls", "Calls to the platform");
         Self {
@@ -56,6 +60,7 @@
             in_flight,
             waiting,
             generation,
+            condemned,
             platform_calls,
         }
     }
--- a/crates/filberttrail-entry/src/upstream.rs
+++ b/crates/filberttrail-entry/src/upstream.rs
@@ -302,6 +302,9 @@
             Frame::Want(digest) => {
                 let _ = replicator.send(Message::Want(connection_id, digest));
             }
+            Frame::Blame(report) => {
+                let _ = replicator.send(Message::Blame(report));
+            }
             Frame::Beat => {}
             other => log::warn!("{} sent an unexpected frame: {other:?}", self.name),
         }
--- a/crates/filberttrail-fleet/src/blame/mod.rs
+++ b/crates/filberttrail-fleet/src/blame/mod.rs
@@ -21,6 +21,7 @@
 mod report;
 mod reserve;
 mod subject;
+mod trial_places;
 
 pub use crash::Crash;
 pub use decision::{Decision, Turn};
@@ -28,3 +29,4 @@
 pub use report::Report;
 pub use reserve::Reserve;
 pub use subject::SubjectId;
+pub use trial_places::choose_trial_places;
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod caller_request;
 pub mod connection;
 pub mod copy;
-pub mod crash;
 pub mod currency;
 pub mod daemon;
 pub mod exchange;
--- a/crates/filberttrail-gateway/src/trial.rs
+++ b/crates/filberttrail-gateway/src/trial.rs
@@ -2,7 +2,6 @@
 
 use crate::Hub;
 use crate::caller_request::CallerRequest;
-use crate::crash;
 use crate::exchange::Failed;
 use crate::permit::Permit;
 use crate::slot_request::Refusal;
@@ -10,6 +9,7 @@
 use filberttrail_fleet::admission;
 use filberttrail_fleet::blame::{CONDEMNED_LIFETIME, Decision, SubjectId, Turn};
 use filberttrail_fleet::upstream;
+use filberttrail_web::crash;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,7 +98,7 @@
         }
         // A change of the registrations may have arrived while the upstream was asked.
         let ended = self.hub.has_ended(&self.target)
-            || (*failed != Failed::Silent && crash::has_crashed(&self.target).await)
+            || (*failed != Failed::Silent && crash::has_crashed(self.target.address).await)
             || self.hub.has_ended(&self.target);
         if !ended {
             return false;
--- a/crates/filberttrail-kernel/src/mechanism.rs
+++ b/crates/filberttrail-kernel/src/mechanism.rs
@@ -29,10 +29,13 @@
     /// The rule that a process never applies an older generation.
     #[display("generations")]
     Generations,
+    /// The refusal of requests that crash the upstreams which run them.
+    #[display("blame")]
+    Blame,
 }
 
 /// All mechanisms.
-pub const ALL: [Mechanism; 8] = [
+pub const ALL: [Mechanism; 9] = [
     Mechanism::Barrier,
     Mechanism::Cap,
     Mechanism::Outs,
@@ -41,6 +44,7 @@
     Mechanism::Claims,
     Mechanism::Drain,
     Mechanism::Generations,
+    Mechanism::Blame,
 ];
 
 impl Mechanism {
--- a/crates/filberttrail-protocol/src/frame.rs
+++ b/crates/filberttrail-protocol/src/frame.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
+use filberttrail_fleet::blame::{Report, SubjectId};
 use filberttrail_kernel::id::{Incarnation, MapVersion, Rank};
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,8 @@
     Want(String),
     /// Both directions: a configuration part, with its digest.
     Part(String, Bytes),
+    /// Both directions: what the sender blames for crashes of upstreams.
+    Blame(Report),
     /// Lease holder to sidecar: stage the expert map with this version, given in JSON.
     Stage(MapVersion, Bytes),
     /// Sidecar to lease holder: the rank has staged the version.
@@ -107,6 +110,10 @@
     pub repeatable: bool,
     /// The idempotency key of the request, if the caller sent one.
     pub key: Option<Key>,
+    /// Hash of what the request asks for, by which it is recognized if it crashes upstreams.
+    pub subject: SubjectId,
+    /// Whether an upstream crashed under an earlier attempt of the same request.
+    pub crashed: bool,
     /// How long the caller waits for the head of the response, in milliseconds.
     pub patience_ms: u64,
 }
@@ -196,6 +203,15 @@
     /// a request with an idempotency key was too slow or too large.
     #[display("broken-off")]
     BrokenOff,
+    /// The upstream crashed before the response was complete.
+    #[display("crashed")]
+    Crashed,
+    /// The request is suspected to crash upstreams, and may not be tried now at this one.
+    #[display("suspect")]
+    Suspect,
+    /// The request crashes upstreams.
+    #[display("harmful")]
+    Harmful,
     /// The upstream did not send the head or the next part of the response in time.
     #[display("timed-out")]
     TimedOut,
--- a/crates/filberttrail-relay/src/replicator.rs
+++ b/crates/filberttrail-relay/src/replicator.rs
@@ -1,9 +1,11 @@
 //! A task that owns the configuration store of a process and exchanges configurations with its
-//! peers and the platform.
+//! peers and the platform. It also exchanges with the peers what is blamed for crashes.
 
+use crate::blame::Blame;
 use bytes::Bytes;
 use filberttrail_declare::store::Outcome;
 use filberttrail_declare::{Store, View};
+use filberttrail_fleet::blame::Report;
 use filberttrail_kernel::{Disabled, Mechanism, Result};
 use filberttrail_protocol::Frame;
 use filberttrail_store::configuration::IN_FORCE;
@@ -20,6 +22,9 @@
 
 /// Interval at which missing parts are requested again.
 const RETRY_PERIOD: Duration = Duration::from_millis(500);
+/// Interval at which peers are told again what is blamed for crashes. Those that were connected when
+/// it was news know it; this is for peers that have forgotten it.
+const BLAME_PERIOD: Duration = Duration::from_secs(10);
 /// Longest interval at which a process with `Source::Poll` reads which configuration is in force;
 /// the actual interval is at least half of it, at random.
 pub const POLL_PERIOD: Duration = Duration::from_secs(4);
@@ -37,6 +42,8 @@
     Part(String, Bytes),
     /// A peer requests the part with this digest.
     Want(u64, String),
+    /// A peer reports what it blames for crashes.
+    Blame(Report),
 }
 
 /// How a process learns about configuration changes on the platform.
@@ -55,6 +62,7 @@
     peers: HashMap<u64, Peer>,
     views: watch::Sender<Option<Arc<View>>>,
     platform: Option<Arc<Platform>>,
+    blame: Arc<Blame>,
     inbox: Inbox,
     name: String,
 }
@@ -67,6 +75,7 @@
         platform: Option<Arc<Platform>>,
         source: Source,
         disabled: &Disabled,
+        blame: Arc<Blame>,
     ) -> (Inbox, watch::Receiver<Option<Arc<View>>>) {
         let (inbox, messages) = mpsc::unbounded_channel();
         let (views, view) = watch::channel(None);
@@ -79,20 +88,27 @@
             false => Store::new().with_any_generation(),
         };
         let replicator =
-            Self { store, peers: HashMap::new(), views, platform, inbox: own_inbox, name };
+            Self { store, peers: HashMap::new(), views, platform, blame, inbox: own_inbox, name };
         tokio::spawn(replicator.run(messages));
         (inbox, view)
     }
 
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
         let mut retry = tokio::time::interval(RETRY_PERIOD);
+        let mut blame_reminder = tokio::time::interval(BLAME_PERIOD);
+        let blame = self.blame.clone();
         loop {
             tokio::select! {
                 message = messages.recv() => match message {
                     Some(message) => self.handle_message(message),
                     None => return,
                 },
-                _ = retry.tick() => self.request_missing_parts(),
+                _ = retry.tick() => {
+                    self.request_missing_parts();
+                    self.blame.remove_expired();
+                }
+                () = blame.changed() => self.send_blame(),
+                _ = blame_reminder.tick() => self.send_blame(),
                 () = self.views.closed() => return,
             }
         }
@@ -104,6 +120,9 @@
                 if let Some(manifest) = self.store.manifest() {
                     let _ = peer.send(Frame::Manifest(manifest));
                 }
+                if let Some(report) = self.blame.report() {
+                    let _ = peer.send(Frame::Blame(report));
+                }
                 self.peers.insert(id, peer);
                 return;
             }
@@ -117,6 +136,7 @@
                 }
                 return;
             }
+            Message::Blame(report) => return self.blame.receive(&report),
             Message::Manifest(from, manifest) => {
                 let outcome = self.store.offer_manifest(&manifest);
                 if let (Ok(Outcome::Stale), Some(from)) = (&outcome, from) {
@@ -152,6 +172,13 @@
         }
     }
 
+    fn send_blame(&self) {
+        let Some(report) = self.blame.report() else { return };
+        for peer in self.peers.values() {
+            let _ = peer.send(Frame::Blame(report.clone()));
+        }
+    }
+
     fn request_missing_parts(&mut self) {
         let missing = self.store.missing();
         if !missing.is_empty() {
--- a/crates/filberttrail-sidecar/src/admin.rs
+++ b/crates/filberttrail-sidecar/src/admin.rs
@@ -20,6 +20,7 @@
             metrics.in_flight.set(load.in_flight.into());
             metrics.limit.set(load.limit.into());
             metrics.generation.set(load.generation as i64);
+            metrics.condemned.set(context.blame.count_condemned() as i64);
             let counts = context.claims.counts();
             metrics.claim_writes.set(counts.writes.load(Ordering::Relaxed) as i64);
             metrics.claims.set(counts.operations.load(Ordering::Relaxed) as i64);
--- a/crates/filberttrail-sidecar/src/attempt.rs
+++ b/crates/filberttrail-sidecar/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::buffer::Buffer;
 use crate::context::Context;
+use crate::trial::Trial;
 use bytes::Bytes;
 use filberttrail_kernel::Mechanism;
 use filberttrail_kernel::id::{Attempt, ENGINE_INCARNATION_HEADER, Incarnation};
@@ -71,21 +72,21 @@
 }
 
 async fn run_unkeyed(
-    context: &Context,
+    context: &Arc<Context>,
     attempt: Attempt,
     offer: &Offer,
     buffer: &Buffer,
 ) -> Result<(), Failure> {
-    let response = hand_over(context, attempt, offer).await?;
+    let (response, mut trial) = hand_over(context, attempt, offer).await?;
     let (head, body) = response.into_parts();
     buffer.push_head(convert_head(&head));
-    let result = stream_body(context, body, buffer).await;
+    let result = stream_body(context, body, buffer, &mut trial).await;
     context.finish(attempt, result.is_ok() && proves_capacity(&head));
-    result
+    end_trial(trial, &head, result).await
 }
 
 async fn run_keyed(
-    context: &Context,
+    context: &Arc<Context>,
     attempt: Attempt,
     offer: &Offer,
     buffer: &Buffer,
@@ -104,8 +105,8 @@
             return Err(failure);
         }
     }
-    let response = match hand_over(context, attempt, offer).await {
-        Ok(response) => response,
+    let (response, trial) = match hand_over(context, attempt, offer).await {
+        Ok(started) => started,
         Err(failure) => {
             if failure.ran == Ran::No {
                 release(context, &object, &key, attempt);
@@ -117,12 +118,17 @@
     let collected = http_body_util::Limited::new(body, MAX_KEYED_RESPONSE_BYTES).collect();
     let body = match tokio::time::timeout(context.settings.head_wait, collected).await {
         Ok(Ok(body)) => body.to_bytes(),
-        _ => {
+        Ok(Err(_)) => {
+            context.finish(attempt, false);
+            return Err(unknown(trial.fail().await));
+        }
+        Err(_) => {
             context.finish(attempt, false);
             return Err(unknown(Cause::BrokenOff));
         }
     };
     context.finish(attempt, proves_capacity(&head));
+    end_trial(trial, &head, Ok(())).await?;
     let head = convert_head(&head);
     record(context, &object, &key, attempt, &head, &body).await;
     buffer.push_head(head);
@@ -218,13 +224,29 @@
     buffer.push_chunk(outcome.body.into());
 }
 
+/// Ends the trial of a request whose response has ended, and returns how it did.
+async fn end_trial(
+    mut trial: Trial,
+    head: &hyper::http::response::Parts,
+    result: Result<(), Failure>,
+) -> Result<(), Failure> {
+    match result {
+        Ok(()) if head.status.is_server_error() => trial.cancel(),
+        Ok(()) => trial.pass(),
+        Err(Failure { cause: Cause::BrokenOff, .. }) => return Err(unknown(trial.fail().await)),
+        // The upstream is only slow, or the caller is.
+        Err(failure) => return Err(failure),
+    }
+    Ok(())
+}
+
 /// Sends the request to the upstream if the attempt may still be handed over, and returns the head
 /// of the response.
 async fn hand_over(
-    context: &Context,
+    context: &Arc<Context>,
     attempt: Attempt,
     offer: &Offer,
-) -> Result<hyper::Response<Incoming>, Failure> {
+) -> Result<(hyper::Response<Incoming>, Trial), Failure> {
     let engine = context.engine_incarnation();
     let request = match build_request(offer, engine) {
         Ok(request) => request,
@@ -233,7 +255,16 @@
             return Err(failure);
         }
     };
+    // What is known of the request may have changed while its key was claimed.
+    let mut trial = match Trial::begin(context, offer) {
+        Ok(trial) => trial,
+        Err(cause) => {
+            context.mark_not_run(attempt);
+            return Err(not_run(cause));
+        }
+    };
     if !context.hand_over(attempt) {
+        trial.cancel();
         context.mark_not_run(attempt);
         return Err(not_run(Cause::Withdrawn));
     }
@@ -241,14 +272,16 @@
     match tokio::time::timeout(context.settings.head_wait, sending).await {
         Ok(Ok(response)) => match refusing_incarnation(&response, engine) {
             Some(engine) => {
+                trial.cancel();
                 log::info!("{} has restarted with incarnation {engine}", context.settings.name);
                 context.observe_engine(engine);
                 context.mark_not_run(attempt);
                 Err(not_run(Cause::Misdirected))
             }
-            None => Ok(response),
+            None => Ok((response, trial)),
         },
         Ok(Err(failure)) if !failure.sent => {
+            trial.cancel();
             log::warn!("cannot connect to {}: {failure}", context.settings.name);
             context.mark_not_run(attempt);
             Err(not_run(Cause::Unreachable))
@@ -259,7 +292,7 @@
                 context.settings.name
             );
             context.finish(attempt, false);
-            Err(unknown(Cause::BrokenOff))
+            Err(unknown(trial.fail().await))
         }
         Err(_) => {
             context.finish(attempt, false);
@@ -323,6 +356,7 @@
     context: &Context,
     mut body: Incoming,
     buffer: &Buffer,
+    trial: &mut Trial,
 ) -> Result<(), Failure> {
     let mut last = context.now();
     loop {
@@ -335,6 +369,7 @@
         let Ok(chunk) = frame.into_data() else { continue };
         let now = context.now();
         context.record_token(now.saturating_sub(last));
+        trial.note_part();
         last = now;
         if !buffer.push_chunk(chunk) {
             return Err(unknown(Cause::CallerSlow));
--- a/crates/filberttrail-sidecar/src/connection.rs
+++ b/crates/filberttrail-sidecar/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::buffer::Buffer;
 use crate::context::Context;
 use crate::coordinator;
+use crate::trial::Trial;
 use bytes::Bytes;
 use filberttrail_kernel::Result;
 use filberttrail_kernel::id::Attempt;
@@ -100,6 +101,7 @@
             Frame::Manifest(manifest) => self.forward(Message::Manifest(Some(self.id), manifest)),
             Frame::Part(digest, part) => self.forward(Message::Part(digest, part)),
             Frame::Want(digest) => self.forward(Message::Want(self.id, digest)),
+            Frame::Blame(report) => self.forward(Message::Blame(report)),
             Frame::Stage(version, map) => self.apply_order(coordinator::Order::Stage(version, map)),
             Frame::Activate(version) => self.apply_order(coordinator::Order::Activate(version)),
             Frame::Beat => {}
@@ -145,7 +147,8 @@
         }
         let attempt = self.attempt(offer.number);
         let buffer = Arc::new(Buffer::new(offer.number, self.frames.clone()));
-        if !context.offer(attempt, self.hello.connection, buffer.clone())? {
+        let blamed = Trial::check(context, &offer).err();
+        if !context.offer(attempt, self.hello.connection, buffer.clone(), blamed)? {
             return Ok(());
         }
         let repeatable = offer.repeatable;
--- a/crates/filberttrail-sidecar/src/context.rs
+++ b/crates/filberttrail-sidecar/src/context.rs
@@ -5,10 +5,13 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use filberttrail_declare::View;
+use filberttrail_fleet::blame::Crash;
+use filberttrail_kernel::digest::stable_hash;
 use filberttrail_kernel::id::{Attempt, Fence, Incarnation, MapVersion};
 use filberttrail_kernel::{Mechanism, clock};
 use filberttrail_protocol::Cause;
 use filberttrail_protocol::frame::Load;
+use filberttrail_relay::Blame;
 use filberttrail_state::barrier::Staging;
 use filberttrail_state::ledger::{Verdict, Withdrawal};
 use filberttrail_state::{Cap, Ledger};
@@ -38,6 +41,8 @@
     pub client: Client,
     /// The metrics of the sidecar.
     pub metrics: Metrics,
+    /// What is blamed for crashes of upstreams.
+    pub blame: Arc<Blame>,
     state: Mutex<State>,
 }
 
@@ -47,6 +52,8 @@
     executions: HashMap<Attempt, Execution>,
     staging: Staging,
     draining: bool,
+    /// Number of times that the upstream is known to have ended since the sidecar started.
+    ends: u64,
 }
 
 /// The execution of one attempt: its response and the handle to abort it.
@@ -65,6 +72,7 @@
         clock: clock::Shared,
         view: watch::Receiver<Option<Arc<View>>>,
         claims: Claims,
+        blame: Arc<Blame>,
     ) -> Self {
         let state = State {
             ledger: Ledger::new(),
@@ -72,11 +80,12 @@
             executions: HashMap::new(),
             staging: Staging::new(),
             draining: false,
+            ends: 0,
         };
         let metrics = Metrics::new();
         let client = Client::new();
         let state = Mutex::new(state);
-        Self { settings, incarnation, clock, view, claims, client, metrics, state }
+        Self { settings, incarnation, clock, view, claims, client, metrics, blame, state }
     }
 
     /// Returns the time since the sidecar's clock was started.
@@ -95,12 +104,14 @@
     }
 
     /// Decides on an offer. Returns `true` if the attempt is accepted and must be run, `false` if
-    /// it is a duplicate, and the cause if it is refused.
+    /// it is a duplicate, and the cause if it is refused. `blamed` is the cause if what is known of
+    /// crashes forbids to run the request.
     pub fn offer(
         &self,
         attempt: Attempt,
         connection: u64,
         buffer: Arc<Buffer>,
+        blamed: Option<Cause>,
     ) -> Result<bool, Cause> {
         let now = self.now();
         let mut state = self.state();
@@ -116,6 +127,8 @@
             Some(Cause::Draining)
         } else if self.is_out() {
             Some(Cause::Out)
+        } else if blamed.is_some() {
+            blamed
         } else if self.settings.disabled.is_enabled(Mechanism::Cap) && !state.cap.admit(now) {
             Some(Cause::Full)
         } else {
@@ -207,9 +220,41 @@
         self.state().cap.record_token(gap, now);
     }
 
-    /// Records the engine's incarnation.
+    /// Records the engine's incarnation. Another one than before shows that the engine has ended.
     pub fn observe_engine(&self, engine_incarnation: Incarnation) {
-        self.state().cap.observe_incarnation(engine_incarnation);
+        let life = self.current_life();
+        let mut state = self.state();
+        let before = state.cap.incarnation();
+        state.cap.observe_incarnation(engine_incarnation);
+        let ended = before.is_some() && before != state.cap.incarnation();
+        drop(state);
+        if ended {
+            self.end_life(life);
+        }
+    }
+
+    /// Returns what the upstream's next end is known as.
+    pub fn current_life(&self) -> Crash {
+        let upstream = stable_hash(self.settings.name.as_bytes()) as u32;
+        Crash { upstream, incarnation: self.state().ends }
+    }
+
+    /// Records that the upstream has ended, once for each of its ends.
+    pub fn end_life(&self, life: Crash) {
+        {
+            let mut state = self.state();
+            state.ends = state.ends.max(life.incarnation + 1);
+        }
+        self.blame.record_end(life);
+    }
+
+    /// Returns the names of the upstreams in service that run the same model or service as this one,
+    /// or `None` if the configuration is not known.
+    pub fn serving_names(&self) -> Option<Vec<String>> {
+        let view = self.view.borrow();
+        let view = view.as_ref()?;
+        let peers = view.peers_of(view.upstream(&self.settings.name)?);
+        Some(peers.into_iter().map(|peer| peer.name.clone()).collect())
     }
 
     /// Returns the engine's incarnation, or `None` if it is unknown or the upstream is a service.
--- a/crates/filberttrail-sidecar/src/daemon.rs
+++ b/crates/filberttrail-sidecar/src/daemon.rs
@@ -8,7 +8,7 @@
 use filberttrail_kernel::clock;
 use filberttrail_protocol::link::Identity;
 use filberttrail_relay::replicator::Source;
-use filberttrail_relay::{Replicator, RuntimeHandles};
+use filberttrail_relay::{Blame, Replicator, RuntimeHandles};
 use filberttrail_store::Platform;
 use filberttrail_web::Body;
 use filberttrail_web::server::{self, Limits};
@@ -65,6 +65,8 @@
         let incarnation = fastrand::u64(..);
         let platform = Arc::new(Platform::new(settings.platform));
         let claims = Claims::new(platform.clone(), runtimes.control.clone());
+        let clock = clock::System::shared();
+        let blame = Arc::new(Blame::new(clock.clone()));
         let (replicator, view) = {
             let _control = runtimes.control.enter();
             Replicator::start(
@@ -72,13 +74,13 @@
                 Some(platform.clone()),
                 Source::Poll,
                 &settings.disabled,
+                blame.clone(),
             )
         };
         let drain_wait = settings.drain_wait;
         let identity =
             Identity { name: settings.name.clone(), incarnation, secret: settings.secret.clone() };
-        let clock = clock::System::shared();
-        let context = Arc::new(Context::new(settings, incarnation, clock, view, claims));
+        let context = Arc::new(Context::new(settings, incarnation, clock, view, claims, blame));
         let tasks = [
             runtimes.control.spawn(follow_limits(context.clone())),
             runtimes.control.spawn(poll_engine_incarnation(context.clone())),
--- a/crates/filberttrail-sidecar/src/lib.rs
+++ b/crates/filberttrail-sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 pub mod metrics;
 pub mod settings;
+pub mod trial;
 
 pub use daemon::Sidecar;
 pub use settings::Settings;
--- a/crates/filberttrail-sidecar/src/metrics.rs
+++ b/crates/filberttrail-sidecar/src/metrics.rs
@@ -15,6 +15,8 @@
     pub limit: IntGauge,
     /// Generation of the configuration in force, or 0 if none is known.
     pub generation: IntGauge,
+    /// Requests that are refused because they crash upstreams, counted once each.
+    pub condemned: IntGauge,
     /// Number of writes to claims objects.
     pub claim_writes: IntGauge,
     /// Number of submitted operations on claims.
@@ -38,6 +40,7 @@
         let in_flight = gauge("filberttrail_in_flight", "Requests in flight");
         let limit = gauge("filberttrail_limit", "Requests that the upstream bears now");
         let generation = gauge("filberttrail_generation", "The generation applied");
+        let condemned = gauge("filberttrail_condemned_subjects", "Requests that crash upstreams");
         let claim_writes = gauge("filberttrail_claim_writes", "Writes of claims objects");
         let claims = gauge("filberttrail_claims", "Claims asked for");
         let skew = Gauge::new("filberttrail_step_skew", "Largest rank's load over the mean")
@@ -46,7 +49,18 @@
         let moves = IntCounter::new("filberttrail_expert_moves_total", "Expert weights fetched")
             .unwrap_or_else(|error| unreachable!("the metric's name is a constant: {error}"));
         let _ = registry.register(Box::new(moves.clone()));
-        Self { registry, attempts, in_flight, limit, generation, claim_writes, claims, skew, moves }
+        Self {
+            registry,
+            attempts,
+            in_flight,
+            limit,
+            generation,
+            condemned,
+            claim_writes,
+            claims,
+            skew,
+            moves,
+        }
     }
 
     /// Encodes the metrics as text.
--- a/crates/filberttrail-gateway/src/crash.rs
+++ b/crates/filberttrail-web/src/crash.rs
@@ -1,7 +1,7 @@
 //! Finds out whether an upstream crashed.
 
-use crate::target::Target;
 use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -17,9 +17,9 @@
 
 /// Returns whether no process listens at an upstream's address any more. A connection that was only
 /// reset, or an upstream that cannot be reached, is no evidence.
-pub async fn has_crashed(target: &Target) -> bool {
+pub async fn has_crashed(address: SocketAddr) -> bool {
     for _ in 0..PROBES {
-        let probing = tokio::time::timeout(PROBE_TIMEOUT, probe(target));
+        let probing = tokio::time::timeout(PROBE_TIMEOUT, probe(address));
         match probing.await {
             Ok(Ok(closed)) if closed => {}
             Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
@@ -30,8 +30,8 @@
 }
 
 /// Opens a connection. Returns whether it is closed at once.
-async fn probe(target: &Target) -> io::Result<bool> {
-    let mut stream = TcpStream::connect(target.address).await?;
+async fn probe(address: SocketAddr) -> io::Result<bool> {
+    let mut stream = TcpStream::connect(address).await?;
     let mut byte = [0];
     let read = tokio::time::timeout(CLOSE_DELAY, stream.read(&mut byte)).await;
     Ok(matches!(read, Ok(Ok(0) | Err(_))))
--- a/crates/filberttrail-web/src/lib.rs
+++ b/crates/filberttrail-web/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod crash;
 pub mod problem;
 pub mod server;
 pub mod write_timeout;
