Let the soak find a gateway that goes on to send requests which crash upstreams

Change: gateways can be started without blame, as the other mutants lack theirs. The new test plays 9 s of a crashing request against two gateways: whole ones break no promise, those without blame break "a request that crashes upstreams is stopped".

--- a/crates/filberttrail-gateway/src/settings.rs
+++ b/crates/filberttrail-gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a gateway process.
 
 use filberttrail_fleet::budget;
+use filberttrail_kernel::Disabled;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -36,4 +37,7 @@
     pub connections: usize,
     /// Path of the readiness endpoint.
     pub readiness_path: String,
+    /// The mechanisms that tests disable. Only [`Mechanism::Blame`](filberttrail_kernel::Mechanism) is
+    /// one of gateways.
+    pub disabled: Disabled,
 }
--- a/crates/filberttrail-gateway/src/trial.rs
+++ b/crates/filberttrail-gateway/src/trial.rs
@@ -9,6 +9,7 @@
 use filberttrail_fleet::admission;
 use filberttrail_fleet::blame::{CONDEMNED_LIFETIME, Decision, SubjectId, Turn};
 use filberttrail_fleet::upstream;
+use filberttrail_kernel::Mechanism;
 use filberttrail_web::crash;
 use std::sync::Arc;
 use std::time::Duration;
@@ -139,6 +140,9 @@
     caller_request: &CallerRequest,
     crashed: bool,
 ) -> Result<Vec<SubjectId>, Refusal> {
+    if !hub.settings.disabled.is_enabled(Mechanism::Blame) {
+        return Ok(Vec::new());
+    }
     // A request that a crash broke off is the best trial of its digest, as most are sound, and others
     // wait for it. It is no trial of its parts, which other requests have too, and is not sent again
     // if they are suspects.
--- a/crates/filberttrail-soak/src/main.rs
+++ b/crates/filberttrail-soak/src/main.rs
@@ -18,7 +18,8 @@
   --seconds S           how long faults come (20)
   --processes P         gateways, each a process of its own (3)
   --program PATH        the program under soak (filberttrail beside this one)
-  --without MECHANISM   soaks gateways that lack drain, proof, once, revocation, leaving or outs
+  --without MECHANISM   soaks gateways that lack drain, proof, once, revocation, leaving,
+                        outs or blame
   --keep                keeps settings and logs also if every promise held
   --plan                prints what the seed does, and ends
 
--- a/crates/filberttrail-soak/src/mutant.rs
+++ b/crates/filberttrail-soak/src/mutant.rs
@@ -5,7 +5,7 @@
 use filberttrail_fleet::upstream::State;
 use filberttrail_fleet::{Configuration, Upstream};
 use filberttrail_gateway::{Interface, Settings};
-use filberttrail_kernel::{Error, Result};
+use filberttrail_kernel::{Disabled, Error, Mechanism, Result};
 use hyper::header::CONTENT_LENGTH;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -33,11 +33,21 @@
     /// Data centres that operators took out of service are still used.
     #[display("outs")]
     Outs,
+    /// Requests that crash upstreams are sent on.
+    #[display("blame")]
+    Blame,
 }
 
 /// All mutants.
-pub const ALL: [Mutant; 6] =
-    [Mutant::Drain, Mutant::Proof, Mutant::Once, Mutant::Revocation, Mutant::Leaving, Mutant::Outs];
+pub const ALL: [Mutant; 7] = [
+    Mutant::Drain,
+    Mutant::Proof,
+    Mutant::Once,
+    Mutant::Revocation,
+    Mutant::Leaving,
+    Mutant::Outs,
+    Mutant::Blame,
+];
 
 impl Mutant {
     /// Finds a mutant by the name of the mechanism that it lacks. Fails if there is no such
@@ -61,6 +71,9 @@
             Self::Leaving => interface.read_upstream = read_upstream_as_ready,
             // No object of this kind is ever written.
             Self::Outs => interface.outs = "filberttrail-no-outs",
+            Self::Blame => {
+                settings.disabled = Disabled::new().with_disabled(Mechanism::Blame);
+            }
         }
     }
 }
--- a/crates/filberttrail-soak/tests/mutants.rs
+++ b/crates/filberttrail-soak/tests/mutants.rs
@@ -83,3 +83,9 @@
     let faults = [(5_000, Fault::Out(0, 8_000 * MS))];
     check_detection(Mutant::Outs, "what leaves or is out stays quiet", &faults).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn detects_requests_that_go_on_to_crash_upstreams() {
+    let faults = [(1_000, Fault::Harm(9_000 * MS))];
+    check_detection(Mutant::Blame, "a request that crashes upstreams is stopped", &faults).await;
+}
