Let a stand-in engine that restarts forget its requests, and give up a step whose commit was lost

Two faults of the stand-in engine behind entries of KNOWN-RED, each found by reading and shown by a test that failed on the code before:

ranks_use_one_map_per_step ("step (…, 142) ran on {655361, 655362}"): the leader asks all ranks for a step and then has them commit it. If the answer to one commit came later than 0.5 s, as under load, the ranks before it had run the step, and the leader tried the same number again with the map that was active by then. New test a_step_whose_commit_is_lost_keeps_its_map; before: "versions by step: {0: {1, 2}, 1: {2}}". A step that some ranks have committed is now given up, and the next one has another number.

cold_upstreams_get_no_more_requests_than_they_can_run: an engine that restarted went on to count its old requests until their tasks had noticed. New test an_engine_that_restarts_holds_none_of_its_earlier_requests; before: 1 overload at the fifth request.

--- a/crates/filberttrail-stand-in/src/engine/batch.rs
+++ b/crates/filberttrail-stand-in/src/engine/batch.rs
@@ -39,6 +39,8 @@
     ticks: watch::Receiver<u64>,
     /// Words of the prompt that are not in the prefix cache and have to be computed.
     uncached: u64,
+    /// Incarnation of the engine that runs it.
+    incarnation: u64,
     ticket: Ticket,
     in_batch: bool,
     complete: bool,
@@ -58,16 +60,17 @@
         let mut ticks = shared.tick.subscribe();
         restarts.mark_unchanged();
         ticks.mark_unchanged();
-        let uncached = shared.admit(prompt, incarnation)?;
+        let (uncached, incarnation) = shared.admit(prompt, incarnation)?;
         let ticket = shared.enqueue(priority);
-        Ok(Self { shared, restarts, ticks, uncached, ticket, in_batch: false, complete: false })
+        let (in_batch, complete) = (false, false);
+        Ok(Self { shared, restarts, ticks, uncached, incarnation, ticket, in_batch, complete })
     }
 }
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.shared.remove(self.ticket, self.in_batch);
-        self.shared.finish(self.complete);
+        self.shared.remove(self.ticket, self.in_batch, self.incarnation);
+        self.shared.finish(self.complete, self.incarnation);
     }
 }
 
@@ -87,7 +90,8 @@
             _ = request.restarts.changed() => return false,
             _ = request.ticks.changed() => {}
         }
-        request.in_batch = request.in_batch || request.shared.try_join_batch(request.ticket);
+        request.in_batch =
+            request.in_batch || request.shared.try_join_batch(request.ticket, request.incarnation);
         if !request.in_batch {
             continue;
         }
--- a/crates/filberttrail-stand-in/src/engine/lockstep.rs
+++ b/crates/filberttrail-stand-in/src/engine/lockstep.rs
@@ -75,38 +75,51 @@
             continue;
         }
         let step = Step { leader, number, version };
-        if run_on_all(&shared, &client, step).await {
+        // Ranks that have committed a step do not run it again, so it is not tried with another map.
+        if run_on_all(&shared, &client, step).await != Outcome::Held {
             number += 1;
         }
     }
 }
 
+/// What became of a step.
+#[derive(Debug, PartialEq, Eq)]
+enum Outcome {
+    /// No rank has run it.
+    Held,
+    /// Some ranks have run it.
+    Broken,
+    /// All ranks have run it.
+    Ran,
+}
+
 fn has_map(shared: &Shared, version: u64) -> bool {
     shared.settings.uses_newest_map || shared.lock().maps.contains_key(&version)
 }
 
 /// Runs a step on all ranks in two phases: first asks each whether it has the map, then has all of
-/// them commit the step. Returns whether the step ran.
-async fn run_on_all(shared: &Shared, client: &Client, step: Step) -> bool {
+/// them commit the step.
+async fn run_on_all(shared: &Shared, client: &Client, step: Step) -> Outcome {
     if !has_map(shared, step.version) {
         shared.lock().counts.held += 1;
-        return false;
+        return Outcome::Held;
     }
     for commit in [false, true] {
+        let failed = if commit { Outcome::Broken } else { Outcome::Held };
         for peer in &shared.settings.peers {
             let body = serde_json::json!({ "step": step, "commit": commit }).to_string();
             let request =
                 hyper::Request::post("/step").header("host", "rank").body(Body::new(body));
-            let Ok(request) = request else { return false };
+            let Ok(request) = request else { return failed };
             let response = client.fetch(*peer, request, RANK_TIMEOUT, 4_096).await;
             if !response.is_ok_and(|response| response.status() == StatusCode::OK) {
                 shared.lock().counts.held += 1;
-                return false;
+                return failed;
             }
         }
     }
     record_step(shared, step);
-    true
+    Outcome::Ran
 }
 
 #[derive(Deserialize)]
--- a/crates/filberttrail-stand-in/src/engine/state.rs
+++ b/crates/filberttrail-stand-in/src/engine/state.rs
@@ -243,11 +243,13 @@
         ticket
     }
 
-    /// Moves a request to the batch if the batch has room and the request is first in the queue.
-    /// Returns whether it did.
-    pub fn try_join_batch(&self, ticket: Ticket) -> bool {
+    /// Moves a request of an incarnation to the batch if the batch has room and the request is first in
+    /// the queue. Returns whether it did.
+    pub fn try_join_batch(&self, ticket: Ticket, incarnation: u64) -> bool {
         let mut state = self.lock();
-        let joins = state.running < self.settings.batch && state.waiting.first() == Some(&ticket);
+        let joins = state.incarnation == incarnation
+            && state.running < self.settings.batch
+            && state.waiting.first() == Some(&ticket);
         if joins {
             state.waiting.remove(&ticket);
             state.running += 1;
@@ -255,15 +257,15 @@
         joins
     }
 
-    /// Removes a request from the queue or, if it is `in_batch`, from the batch.
-    pub fn remove(&self, ticket: Ticket, in_batch: bool) {
+    /// Removes a request of an incarnation from the queue or, if it is `in_batch`, from the batch.
+    pub fn remove(&self, ticket: Ticket, in_batch: bool, incarnation: u64) {
         let mut state = self.lock();
         state.waiting.remove(&ticket);
-        state.running -= usize::from(in_batch);
+        state.running -= usize::from(in_batch && state.incarnation == incarnation);
     }
 
-    /// Makes the engine cold. Unless `silent`, this simulates a restart: running requests fail, the
-    /// incarnation changes, and the staged maps and the prefix cache are cleared.
+    /// Makes the engine cold. Unless `silent`, this simulates a restart: the requests so far fail and
+    /// are gone at once, the incarnation changes, and the staged maps and the prefix cache are cleared.
     pub fn turn_cold(&self, silent: bool) {
         let mut state = self.lock();
         state.capacity = self.settings.cold_limit;
@@ -274,15 +276,18 @@
         state.incarnation += 1;
         state.maps.clear();
         state.prefixes.clear();
+        state.in_flight = 0;
+        state.running = 0;
+        state.waiting.clear();
         drop(state);
         self.restarts.send_modify(|restarts| *restarts += 1);
     }
 
     /// Admits a request, and returns the number of words of its prompt that are not in the prefix
-    /// cache.
+    /// cache, and the incarnation that runs it.
     ///
     /// Fails with the engine's own incarnation if the request is meant for another one.
-    pub fn admit(&self, prompt: &str, incarnation: Option<u64>) -> Result<u64, u64> {
+    pub fn admit(&self, prompt: &str, incarnation: Option<u64>) -> Result<(u64, u64), u64> {
         let mut state = self.lock();
         if incarnation.is_some_and(|incarnation| incarnation != state.incarnation) {
             return Err(state.incarnation);
@@ -299,7 +304,7 @@
         let words = prompt.split_whitespace().count() as u64;
         let hash = filberttrail_kernel::digest::stable_hash(prompt.as_bytes());
         if state.prefixes.contains(&hash) {
-            return Ok(0);
+            return Ok((0, state.incarnation));
         }
         state.prefixes.push_back(hash);
         state.note_event("added", hash);
@@ -308,13 +313,16 @@
         {
             state.note_event("evicted", evicted);
         }
-        Ok(words)
+        Ok((words, state.incarnation))
     }
 
-    /// Removes a request from those in flight. Each complete response raises the capacity by 2, up
-    /// to the warm limit.
-    pub fn finish(&self, complete: bool) {
+    /// Removes a request of an incarnation from those in flight. Each complete response raises the
+    /// capacity by 2, up to the warm limit.
+    pub fn finish(&self, complete: bool, incarnation: u64) {
         let mut state = self.lock();
+        if state.incarnation != incarnation {
+            return;
+        }
         state.in_flight = state.in_flight.saturating_sub(1);
         if complete {
             state.counts.finished += 1;
--- a/crates/filberttrail-stand-in/tests/engine.rs
+++ b/crates/filberttrail-stand-in/tests/engine.rs
@@ -1,13 +1,18 @@
 //! Behaviour of the stand-in engine that other tests rely on: priorities, resumed streams, delayed
-//! and lost cache events, and the check of the incarnation.
+//! and lost cache events, the check of the incarnation, restarts, and steps whose commit is lost.
 
 use filberttrail_kernel::id::ENGINE_INCARNATION_HEADER;
 use filberttrail_stand_in::engine::{Event, Settings};
 use filberttrail_stand_in::{Engine, text};
 use filberttrail_web::{Body, Client};
+use filberttrail_web::{Limits, Request, Response, server};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 async fn start(settings: Settings) -> (SocketAddr, watch::Sender<bool>) {
@@ -115,3 +120,94 @@
     assert!(counts.contains(r#""begun":0"#), "{counts}");
     assert_eq!(call(incarnation).await.status(), hyper::StatusCode::OK);
 }
+
+#[tokio::test]
+async fn an_engine_that_restarts_holds_none_of_its_earlier_requests() {
+    let (address, _stop) = start(Settings { cold_limit: 4, ..Settings::default() }).await;
+    for number in 0..4 {
+        let body = serde_json::json!({ "prompt": format!("old {number}"), "max_tokens": 10_000 });
+        let request = hyper::Request::post("/v1/completions").header("host", "engine");
+        let request = request.body(Body::new(body.to_string())).expect("a request");
+        tokio::spawn(async move {
+            let client = Client::new();
+            // The restart breaks it off.
+            let _ = client.fetch(address, request, Duration::from_secs(30), 1 << 20).await;
+        });
+    }
+    wait_for_begun(address, 4).await;
+    // Both requests are handled one after the other, before the tasks of the earlier ones run.
+    let write = |method: &str, path: &str, body: &str| {
+        let length = body.len();
+        format!(
+            "{method} {path} HTTP/1.1\r\nhost: engine\r\ncontent-length: {length}\r\n\r\n{body}"
+        )
+    };
+    let restart = write("PUT", "/control/script", r#"{"cold":true}"#);
+    let next = write("POST", "/v1/completions", r#"{"prompt":"new","max_tokens":1}"#);
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all((restart + &next).as_bytes()).await.expect("two requests");
+    wait_for_begun(address, 5).await;
+    let counts = send(address, "GET", "/control/counts", serde_json::Value::Null).await;
+    let counts: serde_json::Value = serde_json::from_str(&counts).expect("counts");
+    assert_eq!(counts["overloads"], 0, "{counts}");
+}
+
+/// The versions that a rank has committed, by number of the step.
+type Committed = Arc<Mutex<BTreeMap<u64, BTreeSet<u64>>>>;
+
+/// Starts a rank that commits each step it is asked to, but whose answers to commits are lost while
+/// `loses` is set.
+async fn start_rank(loses: Arc<AtomicBool>) -> (SocketAddr, Committed) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let committed = Committed::default();
+    let seen = committed.clone();
+    let handle = move |request: Request| {
+        let (seen, loses) = (seen.clone(), loses.clone());
+        async move {
+            let body = server::read_body(request.into_body(), 4_096, Duration::from_secs(5)).await;
+            let call: serde_json::Value =
+                serde_json::from_slice(&body.unwrap_or_default()).expect("a step");
+            let mut response = Response::new(Body::empty());
+            if call["commit"] == true {
+                let [number, version] =
+                    ["number", "version"].map(|field| call["step"][field].as_u64().expect(field));
+                seen.lock().expect("no panic").entry(number).or_default().insert(version);
+                if loses.load(Ordering::Relaxed) {
+                    *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+                }
+            }
+            response
+        }
+    };
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(async move {
+        server::serve(listener, Limits::default(), stopped, handle).await;
+        drop(stop);
+    });
+    (address, committed)
+}
+
+#[tokio::test]
+async fn a_step_whose_commit_is_lost_keeps_its_map() {
+    let loses = Arc::new(AtomicBool::new(true));
+    let (rank, committed) = start_rank(loses.clone()).await;
+    let (leader, _stop) = start(Settings { peers: vec![rank], ..Settings::default() }).await;
+    let order = |version: u64| serde_json::json!({ "fence": 1, "version": version, "map": {} });
+    let count = || committed.lock().expect("no panic").len();
+    for version in [1, 2] {
+        send(leader, "POST", "/orders/stage", order(version)).await;
+    }
+    send(leader, "POST", "/orders/activate", order(1)).await;
+    while count() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    send(leader, "POST", "/orders/activate", order(2)).await;
+    loses.store(false, Ordering::Relaxed);
+    while count() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let committed = committed.lock().expect("no panic").clone();
+    let mixed = committed.values().any(|versions| versions.len() > 1);
+    assert!(!mixed, "versions by step: {committed:?}");
+}
