Suspect a request after a crash also if answers survived it before

What callers would see: a request that upstreams answered, and that crashes them from some time on (after a release, say), was sent on: up to 9 sends later than 3 s after the third crash, where 3 are allowed.

Cause: an answer that lives keeps its subjects from being suspects for 10 s and raises what condemns them to 6 points. That is meant for parts of prompts, which most requests share and which are on each crashed upstream by chance. Nothing else holds a whole request, so that its trial tells at once what it is worth.

Evidence: new simulation a_request_that_becomes_harmful_after_answers_survived_it_is_stopped (7 and 40 entries, two and one attempts, 100 to 400 ms between requests).

Change: subjects tell parts from whole requests by a bit; whole requests are suspects after each crash and need 4 points; one that an answer survived within 10 s may be tried without the second of settling, so that a sound request which comes often is cleared within its own duration.

Ruled out: breaking the trust only after a second crash (the crashes of one second count once, and by then all three upstreams are down).

During a change of releases, entries of both name half of the subjects differently; verdicts of the old ones lapse after 600 s.

--- a/crates/filberttrail-entry/src/call.rs
+++ b/crates/filberttrail-entry/src/call.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use filberttrail_declare::View;
 use filberttrail_declare::model::Team;
-use filberttrail_fleet::blame::SubjectId;
+use filberttrail_fleet::blame::{SubjectId, whole_request};
 use filberttrail_kernel::digest::{StableHasher, sha256_hex, stable_hash};
 use filberttrail_protocol::frame::Key;
 use filberttrail_route::{Request, prefix};
@@ -123,7 +123,7 @@
     for field in [team.as_bytes(), target.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
         hasher.write_field(field);
     }
-    hasher.finish()
+    whole_request(hasher.finish())
 }
 
 fn extract_prompt(
--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -1,5 +1,6 @@
 use super::accusation::{Accusation, Record};
 use super::failures::{Failure, Failures};
+use super::subject::is_whole_request;
 use super::{Crash, Decision, Report, SubjectId, Turn};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -17,12 +18,14 @@
 const SETTLING: Duration = Duration::from_millis(1_000);
 /// Score at which a subject is condemned.
 const CONDEMNING_SCORE: u32 = 4;
-/// Score at which a subject is condemned that an answer has survived within [`LIFE_MEMORY`]. Parts of
-/// most requests are on each crashed upstream by chance.
+/// Score at which a part is condemned that an answer has survived within [`LIFE_MEMORY`]. Parts of most
+/// requests are on each crashed upstream by chance.
 const CONDEMNING_SCORE_OF_SURVIVED: u32 = 6;
 /// Score at which a subject is condemned again whose verdict has lapsed.
 const CONDEMNING_SCORE_OF_LAPSED: u32 = 1;
-/// Time after an answer has lived within which its subjects are no suspects.
+/// Time after an answer has lived within which its parts are no suspects, and a whole request may be
+/// tried without settling. Whole requests are suspects all the same, as their trial tells more: nothing
+/// else holds them.
 const TRUST: Duration = Duration::from_secs(10);
 /// Time for which it is remembered that an answer has lived.
 const LIFE_MEMORY: Duration = Duration::from_secs(60);
@@ -118,7 +121,10 @@
         let suspects: Vec<SubjectId> =
             subjects.iter().copied().filter(|subject| self.is_suspect(now, *subject)).collect();
         let may_try = |subject: SubjectId| {
-            let settled = || self.accused[&subject].last_at().is_none_or(|at| now >= at + SETTLING);
+            let settled = || {
+                self.has_survived(now, subject)
+                    || self.accused[&subject].last_at().is_none_or(|at| now >= at + SETTLING)
+            };
             let tried = self.tried.get(&subject);
             !self.in_trial.contains_key(&subject)
                 && !self.failures.open_trials().any(|open| open == subject)
@@ -173,8 +179,12 @@
         (recent || record.score() > 1) && !self.is_trusted(now, subject)
     }
 
-    /// Returns whether an answer with this subject has lived recently.
+    /// Returns whether a subject is no suspect because an answer with it has lived recently.
     pub fn is_trusted(&self, now: Duration, subject: SubjectId) -> bool {
+        !is_whole_request(subject) && self.has_survived(now, subject)
+    }
+
+    fn has_survived(&self, now: Duration, subject: SubjectId) -> bool {
         self.lived.get(&subject).is_some_and(|at| now < *at + TRUST)
     }
 
@@ -266,7 +276,8 @@
         if record.add(accusation, ACCUSATIONS_LIMIT) && news {
             record.news_until = now + NEWS_LIFETIME;
         }
-        let survived = self.lived.get(&subject).is_some_and(|at| now < *at + LIFE_MEMORY);
+        let survived = !is_whole_request(subject)
+            && self.lived.get(&subject).is_some_and(|at| now < *at + LIFE_MEMORY);
         let needed = match record.lapsed_at {
             Some(_) => CONDEMNING_SCORE_OF_LAPSED,
             None if survived => CONDEMNING_SCORE_OF_SURVIVED,
--- a/crates/filberttrail-fleet/src/blame/mod.rs
+++ b/crates/filberttrail-fleet/src/blame/mod.rs
@@ -28,5 +28,5 @@
 pub use ledger::{CONDEMNED_LIFETIME, Ledger, TRIAL_ENTRIES, has_lived};
 pub use report::Report;
 pub use reserve::Reserve;
-pub use subject::SubjectId;
+pub use subject::{SubjectId, part, whole_request};
 pub use trial_places::choose_trial_places;
--- a/crates/filberttrail-fleet/tests/crashing_requests.rs
+++ b/crates/filberttrail-fleet/tests/crashing_requests.rs
@@ -1,7 +1,9 @@
 //! Requests that crash each upstream of a plain service, and that their callers send again, in
 //! simulated estates of 2 to 149 entries whose messages are late and lost.
 
-use filberttrail_fleet::blame::{Crash, Decision, Ledger, Reserve, SubjectId, TRIAL_ENTRIES, Turn};
+use filberttrail_fleet::blame::{
+    Crash, Decision, Ledger, Reserve, SubjectId, TRIAL_ENTRIES, Turn, whole_request,
+};
 use filberttrail_kernel::digest::mix;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -24,6 +26,8 @@
 const RETRY_MS: u64 = 200;
 /// Time for which an entry holds an upstream that refused a connection for gone.
 const PAUSE_MS: u64 = 800;
+/// The sound request that comes often.
+const POPULAR: u64 = 500;
 /// Requests that an upstream runs at once.
 const SLOTS: usize = 6;
 
@@ -37,9 +41,13 @@
     upstreams: usize,
     /// Mean number of sound requests a second.
     sound: f64,
+    /// Fraction of them that are the same request.
+    popular: f64,
     /// Number of bad requests, which differ, and mean time until one comes again.
     bad: u64,
     again_ms: u64,
+    /// Time until which upstreams survive the bad requests.
+    harmful_from_ms: u64,
     /// Attempts of a request: 1 for those that may run once only.
     attempts: u32,
     delay_ms: u64,
@@ -58,8 +66,10 @@
     entries: 7,
     upstreams: 3,
     sound: 9.5,
+    popular: 0.0,
     bad: 1,
     again_ms: 400,
+    harmful_from_ms: 0,
     attempts: 2,
     delay_ms: 2,
     loss: 0.05,
@@ -115,7 +125,7 @@
 }
 
 fn is_bad(digest: SubjectId) -> bool {
-    digest < 100
+    digest < whole_request(100)
 }
 
 impl Estate {
@@ -160,14 +170,16 @@
             }
             if random.f64() * 1_000.0 < terms.sound * STEP_MS as f64 {
                 next_sound += 1;
+                let is_popular = terms.popular > 0.0 && random.f64() < terms.popular;
+                let sound = if is_popular { POPULAR } else { next_sound };
                 estate.sound_asked += 1;
                 let entry = random.usize(0..terms.entries);
-                estate.send(&mut random, now, entry, next_sound, 1);
+                estate.send(&mut random, now, entry, whole_request(sound), 1);
             }
             for bad in 1..=terms.bad {
                 if now >= 2_000 && random.u64(0..terms.again_ms / STEP_MS) == 0 {
                     let entry = random.usize(0..terms.entries);
-                    estate.send(&mut random, now, entry, bad, 1);
+                    estate.send(&mut random, now, entry, whole_request(bad), 1);
                 }
             }
             if terms.restarts_ms > 0 && random.u64(0..terms.restarts_ms / STEP_MS) == 0 {
@@ -264,7 +276,7 @@
             }
             self.entries[entry].begin_trial(&suspects, target);
             self.urgent[entry] |= !suspects.is_empty();
-            if is_bad(digest) {
+            if self.is_harmful(digest, now) {
                 self.sends.entry(digest).or_default().push(now);
             }
             let started = now;
@@ -281,6 +293,11 @@
         }
     }
 
+    /// Returns whether a request that is sent now crashes its upstream.
+    fn is_harmful(&self, digest: SubjectId, now: u64) -> bool {
+        is_bad(digest) && now >= self.terms.harmful_from_ms
+    }
+
     fn advance(&mut self, random: &mut fastrand::Rng, now: u64) {
         let ready = |retry: &Retry| retry.at <= now;
         let retries: Vec<Retry> = std::mem::take(&mut self.retries);
@@ -298,7 +315,7 @@
             }
         }
         let crashing = self.running.iter().find(|run| {
-            is_bad(run.digest)
+            self.is_harmful(run.digest, run.started)
                 && now >= run.started + CRASH_AFTER_MS
                 && now >= self.upstreams[run.upstream].up_at
         });
@@ -311,17 +328,17 @@
                 false => self.end(now, upstream),
             }
         }
-        let upstreams = &self.upstreams;
+        let (upstreams, harmful_from_ms) = (&self.upstreams, self.terms.harmful_from_ms);
         let is_over = |run: &Run| {
             now >= run.started + WORK_MS
                 && now >= upstreams[run.upstream].up_at
-                && !is_bad(run.digest)
+                && !(is_bad(run.digest) && run.started >= harmful_from_ms)
         };
         for run in self.running.iter().filter(|run| is_over(run)) {
             let cleared = self.entries[run.entry].record_lived(ms(now), &[run.digest]);
             self.urgent[run.entry] |= !cleared.is_empty();
             self.entries[run.entry].end_trial(&run.suspects);
-            self.sound_served += 1;
+            self.sound_served += usize::from(!is_bad(run.digest));
         }
         self.running.retain(|run| !is_over(run));
         if now.is_multiple_of(100) {
@@ -389,14 +406,42 @@
     }
 }
 
+#[test]
+fn a_request_that_becomes_harmful_after_answers_survived_it_is_stopped() {
+    let small = Terms { harmful_from_ms: 8_000, ..TERMS };
+    let once = Terms { attempts: 1, ..small };
+    let often = Terms { again_ms: 100, ..small };
+    let grown = Terms { entries: 40, upstreams: 7, sound: 40.0, again_ms: 200, ..small };
+    for (name, terms, seeds) in
+        [("small", small, 60), ("once", once, 60), ("often", often, 60), ("grown", grown, 8)]
+    {
+        for seed in 300..300 + seeds {
+            let estate = Estate::play(terms, seed, 30_000);
+            let Some(crashes) = estate.crashes.get(&whole_request(1)) else { continue };
+            let third = crashes.get(2).copied().unwrap_or(u64::MAX - SETTLING_MS);
+            let late = estate.sends[&whole_request(1)]
+                .iter()
+                .filter(|at| **at > third + SETTLING_MS)
+                .count();
+            assert!(
+                late <= SENDS_AFTER_THIRD_CRASH,
+                "{name}, seed {seed}: {late} sends too late, crashes at {crashes:?}"
+            );
+            let sound = estate.condemned.iter().find(|digest| !is_bad(**digest));
+            assert_eq!(sound, None, "{name}, seed {seed}: a sound request was condemned");
+        }
+    }
+}
+
 #[test]
 fn entries_that_restart_send_a_crashing_request_no_more() {
     for seed in 100..140 {
         let terms = Terms { restarts_ms: 2_000, ..TERMS };
         let estate = Estate::play(terms, seed, 40_000);
-        let Some(crashes) = estate.crashes.get(&1) else { continue };
+        let Some(crashes) = estate.crashes.get(&whole_request(1)) else { continue };
         let third = crashes.get(2).copied().unwrap_or(u64::MAX - SETTLING_MS);
-        let late = estate.sends[&1].iter().filter(|at| **at > third + SETTLING_MS).count();
+        let late =
+            estate.sends[&whole_request(1)].iter().filter(|at| **at > third + SETTLING_MS).count();
         assert!(late <= SENDS_AFTER_THIRD_CRASH, "seed {seed}: {late} late, {crashes:?}");
     }
 }
@@ -417,6 +462,7 @@
     for (name, terms, least) in [
         ("safe", TERMS, 0.95),
         ("once", Terms { attempts: 1, ..TERMS }, 0.95),
+        ("popular", Terms { popular: 0.5, ..TERMS }, 0.95),
         // Three that begin at once can end all upstreams before anything is known of them.
         ("three", Terms { bad: 3, ..TERMS }, 0.0),
     ] {
--- a/crates/filberttrail-gateway/src/blame.rs
+++ b/crates/filberttrail-gateway/src/blame.rs
@@ -3,7 +3,7 @@
 use crate::id_hash::hash_id;
 use crate::target::Target;
 use crate::verdicts::Change;
-use filberttrail_fleet::blame::{Crash, Decision, Ledger, Report, SubjectId, Turn};
+use filberttrail_fleet::blame::{Crash, Decision, Ledger, Report, SubjectId, Turn, part};
 use filberttrail_fleet::upstream;
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
@@ -17,8 +17,8 @@
 const UNSTORED_LIMIT: usize = 1_024;
 
 /// Returns the subject that a part of the prompts of a service is.
-pub fn part_subject(service: &str, part: &str) -> SubjectId {
-    stable_hash(format!("{service}/{part}").as_bytes())
+pub fn part_subject(service: &str, id: &str) -> SubjectId {
+    part(stable_hash(format!("{service}/{id}").as_bytes()))
 }
 
 /// Formats a subject for logs and names of objects.
--- a/crates/filberttrail-gateway/src/caller_request.rs
+++ b/crates/filberttrail-gateway/src/caller_request.rs
@@ -5,7 +5,7 @@
 use crate::open_request::OpenRequest;
 use bytes::Bytes;
 use filberttrail_fleet::Route;
-use filberttrail_fleet::blame::SubjectId;
+use filberttrail_fleet::blame::{SubjectId, whole_request};
 use filberttrail_fleet::event::SequenceNumber;
 use filberttrail_kernel::digest::StableHasher;
 use filberttrail_web::server::read_body;
@@ -189,7 +189,7 @@
     for part in shared_parts {
         hasher.write_field(part.as_bytes());
     }
-    hasher.finish()
+    whole_request(hasher.finish())
 }
 
 fn find_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
