Accuse a stream that crashes its upstream after it has lived

What callers would see: a stream under which each upstream ends after half a second of events was resumed and sent on without an end: 18 upstreams ended in 10 requests of stand-ins, where three and three retries are allowed.

Cause: an answer that has sent events for 0.5 s at 5 arrivals had lived, for its whole request as for the parts of its prompt, and its trial ended there. The crash that followed accused nothing, and the trial had just cleared the request.

Change: parts live as before; a whole request lives when its answer is complete. A stream that breaks off after its parts have lived is resumed at once, as before, without a probe: its digest is accused when the upstream turns out to have ended, by the next request there, its registration or another entry. The sidecar's trial, which has whole requests alone, ends with the response.

Ruled out: a probe as for answers that had not lived (up to 0.3 s and the 0.2 s for news, in which sound streams would wait).

--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -32,7 +32,7 @@
 /// The upstream response that the events are read from.
 pub struct Source {
     permit: Permit,
-    /// The trial of the request, until the answer has lived.
+    /// The trial of the request.
     trial: Option<Trial>,
     body: Incoming,
     connection: Connection,
@@ -201,9 +201,9 @@
                 self.last_event_at = received_at;
                 source.record_arrival(received_at);
                 if source.has_lived(received_at)
-                    && let Some(trial) = source.trial.take()
+                    && let Some(trial) = &mut source.trial
                 {
-                    trial.pass();
+                    trial.note_life();
                 }
                 self.hub.record_event(&self.target.id);
                 self.hub.metrics.record_relay(self.hub.now().saturating_sub(received_at));
@@ -231,10 +231,15 @@
         }
     }
 
-    /// Ends the trial of an answer that broke off before it had lived, if it did.
+    /// Ends the trial of an answer that broke off. One that had lived is resumed without delay, as others
+    /// find out whether its upstream has crashed.
     async fn end_trial(&mut self, failed: &Failed) {
         let source = self.source.as_mut();
         if let Some(trial) = source.and_then(|source| source.trial.take()) {
+            if trial.has_lived() {
+                trial.break_off(failed);
+                return;
+            }
             // The slot is free for others while it is found out why.
             self.source = None;
             self.attempts.crashed |= trial.fail(failed).await;
--- a/crates/filberttrail-gateway/src/trial.rs
+++ b/crates/filberttrail-gateway/src/trial.rs
@@ -26,6 +26,8 @@
     suspects: Vec<SubjectId>,
     /// Whether the request has been given to the upstream and its outcome is not known.
     open: bool,
+    /// Whether its answer has lived, so that only the whole request may still crash the upstream.
+    has_lived: bool,
 }
 
 impl Trial {
@@ -59,7 +61,34 @@
         let target = Target::new(permit);
         hub.blame.begin_trial(&suspects, &target);
         let (hub, caller_request) = (hub.clone(), caller_request.clone());
-        Ok(Self { hub, caller_request, target, suspects, open: true })
+        Ok(Self { hub, caller_request, target, suspects, open: true, has_lived: false })
+    }
+
+    /// Records that the answer has lived: the upstream survives the parts of the prompt. It survives the
+    /// whole request once the answer is complete.
+    pub fn note_life(&mut self) {
+        if std::mem::replace(&mut self.has_lived, true) {
+            return;
+        }
+        let digest = self.caller_request.digest;
+        let parts: Vec<SubjectId> =
+            self.caller_request.subjects.iter().copied().filter(|id| *id != digest).collect();
+        self.hub.blame.record_lived(&parts);
+        let (kept, ended) = self.suspects.iter().partition(|suspect| **suspect == digest);
+        self.suspects = kept;
+        let ended: Vec<SubjectId> = ended;
+        self.hub.blame.end_trial(&ended);
+    }
+
+    /// Ends the trial of an answer that broke off after it had lived. The request is accused if it turns
+    /// out that the upstream has crashed, without a connection to find that out.
+    pub fn break_off(mut self, failed: &Failed) {
+        self.open = matches!(failed, Failed::Silent | Failed::Unknown(_));
+    }
+
+    /// Returns whether the answer has lived.
+    pub fn has_lived(&self) -> bool {
+        self.has_lived
     }
 
     /// Records that the upstream survived the request.
@@ -121,7 +150,8 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         if self.open {
-            let subjects = &self.caller_request.subjects;
+            let CallerRequest { subjects, digest, .. } = &*self.caller_request;
+            let subjects = if self.has_lived { std::slice::from_ref(digest) } else { subjects };
             self.hub.blame.record_failure(&self.target, subjects, &self.suspects);
         }
         if !self.suspects.is_empty() {
--- a/crates/filberttrail-sidecar/src/attempt.rs
+++ b/crates/filberttrail-sidecar/src/attempt.rs
@@ -77,10 +77,10 @@
     offer: &Offer,
     buffer: &Buffer,
 ) -> Result<(), Failure> {
-    let (response, mut trial) = hand_over(context, attempt, offer).await?;
+    let (response, trial) = hand_over(context, attempt, offer).await?;
     let (head, body) = response.into_parts();
     buffer.push_head(convert_head(&head));
-    let result = stream_body(context, body, buffer, &mut trial).await;
+    let result = stream_body(context, body, buffer).await;
     context.finish(attempt, result.is_ok() && proves_capacity(&head));
     end_trial(trial, &head, result).await
 }
@@ -356,7 +356,6 @@
     context: &Context,
     mut body: Incoming,
     buffer: &Buffer,
-    trial: &mut Trial,
 ) -> Result<(), Failure> {
     let mut last = context.now();
     loop {
@@ -369,7 +368,6 @@
         let Ok(chunk) = frame.into_data() else { continue };
         let now = context.now();
         context.record_token(now.saturating_sub(last));
-        trial.note_part();
         last = now;
         if !buffer.push_chunk(chunk) {
             return Err(unknown(Cause::CallerSlow));
--- a/crates/filberttrail-sidecar/src/trial.rs
+++ b/crates/filberttrail-sidecar/src/trial.rs
@@ -1,12 +1,11 @@
 //! One run of a request, until it is known whether the upstream survives it.
 
 use crate::context::Context;
-use filberttrail_fleet::blame::{Crash, Decision, SubjectId, choose_trial_places, has_lived};
+use filberttrail_fleet::blame::{Crash, Decision, SubjectId, choose_trial_places};
 use filberttrail_kernel::Mechanism;
 use filberttrail_protocol::{Cause, Offer};
 use filberttrail_web::crash::has_crashed;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// One run of a request. While it has suspects, no other request with them is run here.
 pub struct Trial {
@@ -16,9 +15,6 @@
     suspects: Vec<SubjectId>,
     /// Whether the outcome is not known yet.
     open: bool,
-    /// Number of parts of the response so far, and the time of the first.
-    arrivals: u32,
-    first_at: Duration,
 }
 
 impl Trial {
@@ -34,24 +30,10 @@
         let at = context.current_life();
         context.blame.begin_trial(&suspects, at);
         let (context, subject) = (context.clone(), offer.subject);
-        let first_at = Duration::ZERO;
-        Ok(Self { context, subject, at, suspects, open: true, arrivals: 0, first_at })
+        Ok(Self { context, subject, at, suspects, open: true })
     }
 
-    /// Records that a part of the response has arrived. A response that goes on for long enough shows
-    /// that the upstream survives the request.
-    pub fn note_part(&mut self) {
-        let now = self.context.now();
-        if self.arrivals == 0 {
-            self.first_at = now;
-        }
-        self.arrivals = self.arrivals.saturating_add(1);
-        if self.open && has_lived(self.arrivals, now.saturating_sub(self.first_at)) {
-            self.pass();
-        }
-    }
-
-    /// Records that the upstream survived the request.
+    /// Records that the upstream survived the request: its response is complete.
     pub fn pass(&mut self) {
         self.open = false;
         self.context.blame.record_lived(self.subject);
