--- a/crates/filberttrail-dev/src/estate.rs
+++ b/crates/filberttrail-dev/src/estate.rs
@@ -15,7 +15,7 @@
 use filberttrail_web::Limits;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// The shared secret of entries and sidecars.
@@ -23,6 +23,9 @@
 /// The timeout until all entries have reported that they are ready, for all of them together.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The delay between two tries to put the declarations in force.
+const APPLY_DELAY: Duration = Duration::from_millis(100);
+
 /// The options of an estate.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -88,6 +91,22 @@
     reserved: HashMap<SocketAddr, TcpListener>,
 }
 
+/// Puts the declarations of an estate in force, and tries again while the platform does not answer: on a
+/// busy VM, its first answers may take longer than a call does. Fails with the last error after
+/// [`READY_TIMEOUT`].
+pub async fn apply_declarations(platform: &Platform, declarations: &Declarations) -> Result<()> {
+    let started_at = Instant::now();
+    loop {
+        // "dev" is the id of this change; it is unique because the platform is new.
+        match configuration::apply(platform, declarations, "dev".into()).await {
+            Ok(_) => return Ok(()),
+            Err(error) if started_at.elapsed() >= READY_TIMEOUT => return Err(error),
+            Err(error) => log::info!("the platform is not ready: {}", error.current_context()),
+        }
+        tokio::time::sleep(APPLY_DELAY).await;
+    }
+}
+
 fn start_component<F, R>(name: &str, task: F) -> Result<Component>
 where
     F: FnOnce(tokio::runtime::Handle, watch::Receiver<bool>) -> R + Send + 'static,
@@ -106,9 +125,7 @@
     /// and any error of applying the declarations.
     pub async fn start(options: Options) -> Result<Self> {
         let mut estate = Self::start_stand_ins(options)?;
-        let platform = Platform::new(estate.platform);
-        // "dev" is the id of this change; it is unique because the platform is new.
-        configuration::apply(&platform, &estate.declarations, "dev".into()).await?;
+        apply_declarations(&Platform::new(estate.platform), &estate.declarations).await?;
         for name in estate.endpoints.keys().cloned().collect::<Vec<_>>() {
             estate.start_sidecar(&name)?;
         }
