Count crashes beyond the sixteenth of a subject

What callers would see: a part of prompts, or a request, that had crashed 16 upstreams within few seconds was never condemned, and went on to crash one in each trial: 50 to 78 requests too late in 60 s of simulated estates with sixteen plain upstreams.

Cause: of each subject 16 accusations were kept, and all later ones dropped.

Change: with a full record, the accusation gives way that adds nothing to the points, or else the oldest one.

In lock-step groups such a part stops in time (0 to 2 late): new test requests_with_a_part_that_becomes_harmful_after_answers_survived_it_stop.

--- a/crates/filberttrail-fleet/src/blame/accusation.rs
+++ b/crates/filberttrail-fleet/src/blame/accusation.rs
@@ -43,8 +43,9 @@
         total
     }
 
-    /// Adds an accusation. Returns whether that changes the record: the same crash counts once, and
-    /// as one in a trial if any entry saw it in one.
+    /// Adds an accusation, in place of one that counts for nothing if there are `limit`. Returns whether
+    /// that changes the record: the same crash counts once, and as one in a trial if any entry saw it in
+    /// one.
     pub fn add(&mut self, accusation: Accusation, limit: usize) -> bool {
         let known = self.accusations.iter().position(|known| known.crash == accusation.crash);
         match known {
@@ -52,15 +53,30 @@
                 let known = &mut self.accusations[index].in_trial;
                 !std::mem::replace(known, *known || accusation.in_trial) && accusation.in_trial
             }
-            None if self.accusations.len() >= limit => false,
             None => {
                 self.accusations.push(accusation);
                 self.accusations.sort_by_key(|accusation| accusation.at);
+                if self.accusations.len() > limit {
+                    self.remove_one();
+                }
                 true
             }
         }
     }
 
+    /// Removes the last accusation that adds nothing to the score, or else the oldest one.
+    fn remove_one(&mut self) {
+        let score = self.score();
+        let counts_for_nothing = |index: &usize| {
+            let mut others = self.accusations.clone();
+            others.remove(*index);
+            let others = Self { accusations: others, ..Self::default() };
+            others.score() == score
+        };
+        let removed = (0..self.accusations.len()).rev().find(counts_for_nothing);
+        self.accusations.remove(removed.unwrap_or_default());
+    }
+
     /// Returns the time of the last accusation or verdict.
     pub fn last_at(&self) -> Option<Duration> {
         self.accusations.last().map(|last| last.at).max(self.lapsed_at)
--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -65,6 +65,28 @@
     assert_eq!(decide(&mut ledger, ms(20), &[SUBJECT]), Decision::Trial(vec![SUBJECT]));
 }
 
+#[test]
+fn a_part_is_condemned_after_many_crashes_within_few_seconds() {
+    let mut ledger = Ledger::new();
+    ledger.record_lived(ms(0), &[BAD]);
+    // More than are kept, within three seconds.
+    for number in 0..40 {
+        ledger.record_crash(ms(1_000 + 75 * u64::from(number)), crash(number), &[BAD], &[]);
+    }
+    let mut condemned = Vec::new();
+    for number in 40..43 {
+        let at = ms(20_000 + 2_000 * u64::from(number));
+        assert_eq!(decide(&mut ledger, at, &[BAD]), Decision::Trial(vec![BAD]), "crash {number}");
+        ledger.begin_trial(&[BAD], crash(number));
+        condemned = ledger.record_crash(at, crash(number), &[BAD], &[BAD]);
+        ledger.end_trial(&[BAD]);
+        if !condemned.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(condemned, [BAD]);
+}
+
 #[test]
 fn a_part_of_most_requests_outlasts_crashes_that_another_part_causes() {
     // Nothing lives between the crashes, as each follows the opening of the only group.
@@ -268,6 +290,7 @@
     sound_refused: usize,
     condemned: Vec<SubjectId>,
     next_crash: u32,
+    harmful_from_ms: u64,
 }
 
 /// The load and the troubles of a simulated estate.
@@ -288,6 +311,8 @@
     other_crashes_ms: u64,
     /// Mean time between restarts of an entry, which then asks the others; 0 for none.
     restarts_ms: u64,
+    /// Time until which upstreams survive the bad part.
+    harmful_from_ms: u64,
 }
 
 const TERMS: Terms = Terms {
@@ -301,6 +326,7 @@
     passes_on: false,
     other_crashes_ms: 0,
     restarts_ms: 0,
+    harmful_from_ms: 0,
 };
 /// Time that a group takes to open after a crash.
 const CLOSED_MS: u64 = 4_500;
@@ -323,6 +349,7 @@
             sound_refused: 0,
             condemned: Vec::new(),
             next_crash: 0,
+            harmful_from_ms: terms.harmful_from_ms,
         };
         let mut messages = Vec::new();
         for now in (0..until_ms).step_by(10) {
@@ -396,8 +423,8 @@
             }
         };
         match is_bad {
-            true => self.bad_sends.push(now),
-            false => self.sound_sent += 1,
+            true if now >= self.harmful_from_ms => self.bad_sends.push(now),
+            _ => self.sound_sent += 1,
         }
         let group = open[random.usize(0..open.len())];
         let upstream = random.u32(0..terms.ranks);
@@ -407,10 +434,11 @@
     }
 
     fn advance(&mut self, now: u64) {
-        let crashing = self
-            .running
-            .iter()
-            .find(|run| run.parts.contains(&BAD) && now >= run.started + CRASH_AFTER_MS);
+        let crashing = self.running.iter().find(|run| {
+            run.parts.contains(&BAD)
+                && run.started >= self.harmful_from_ms
+                && now >= run.started + CRASH_AFTER_MS
+        });
         if let Some(Run { group, upstream, .. }) = crashing {
             let (group, upstream) = (*group, *upstream);
             self.crashes.push(now);
@@ -495,6 +523,31 @@
     }
 }
 
+/// Plays estates in which a part becomes harmful after answers survived it.
+fn check_later_harm(name: &str, terms: Terms) {
+    let terms = Terms { harmful_from_ms: 12_000, ..terms };
+    for seed in 300..360 {
+        let estate = Estate::play(terms, seed, 60_000);
+        let late = estate.crashes.get(4).map_or(0, |fifth| {
+            estate.bad_sends.iter().filter(|at| **at > fifth + SETTLING_MS).count()
+        });
+        assert!(late <= SENDS_AFTER_FIFTH_CRASH, "{name}, seed {seed}: {late} sends too late");
+        let sound = estate.condemned.iter().find(|part| **part != BAD);
+        assert_eq!(sound, None, "{name}, seed {seed}: a sound part was condemned");
+    }
+}
+
+#[test]
+fn requests_with_a_part_that_becomes_harmful_after_answers_survived_it_stop() {
+    check_later_harm("small", TERMS);
+    check_later_harm("one group", Terms { groups: 1, ranks: 12, ..TERMS });
+}
+
+#[test]
+fn requests_with_a_part_that_becomes_harmful_to_plain_upstreams_stop() {
+    check_later_harm("plain", Terms { groups: 16, ranks: 1, ..TERMS });
+}
+
 #[test]
 fn entries_that_restart_learn_of_a_condemned_part_from_the_others() {
     for seed in 100..140 {
