Let the soak's crashing requests be of every kind

Cause: the soak's request that ends upstreams was always a safe one; payments, which are never sent again, and streams were played by tests alone.

Change: each fault draws one of the three kinds, and the verdict counts each kind by itself, as they are different requests.

--- a/crates/filberttrail-soak/src/callers.rs
+++ b/crates/filberttrail-soak/src/callers.rs
@@ -33,6 +33,9 @@
 /// On average, the caller cancels one in this many streams after the first chunk.
 const CANCEL_ONE_IN: u32 = 12;
 
+/// The kinds of requests.
+pub const KINDS: [Kind; 3] = [Kind::Read, Kind::Pay, Kind::Stream];
+
 /// An open connection to a gateway. Closed when it is dropped.
 struct Connection {
     sender: SendRequest<Body>,
@@ -64,7 +67,7 @@
             continue;
         };
         number += 1;
-        let kind = [Kind::Read, Kind::Pay, Kind::Stream][fastrand::usize(..3)];
+        let kind = KINDS[fastrand::usize(..KINDS.len())];
         let current = estate.current_key.load(Ordering::Relaxed);
         let use_previous = current > 0 && fastrand::u32(..PREVIOUS_KEY_ONE_IN) == 0;
         let key = if use_previous { current - 1 } else { current };
@@ -85,6 +88,7 @@
 /// Sends a request that ends each upstream which runs it to one gateway after the other, until the
 /// estate's time has reached `until`. The ids name the gateways.
 pub async fn run_harmful_caller(estate: Arc<Estate>, until: Duration) {
+    let kind = KINDS[fastrand::usize(..KINDS.len())];
     for number in 0_u64.. {
         let now = estate.now();
         if now >= until {
@@ -93,7 +97,7 @@
         let gateway = fastrand::usize(..estate.gateways.len());
         let key = api_key(estate.current_key.load(Ordering::Relaxed));
         let id = format!("harm-{gateway}-{}-{number}", now.as_millis());
-        let call = Call { id, kind: Kind::Read, key, timeout: REQUEST_TIMEOUT };
+        let call = Call { id, kind, key, timeout: REQUEST_TIMEOUT };
         if let Some(mut connection) = connect(&estate, gateway).await {
             let mut request = call.request();
             *request.body_mut() = Body::new(HARMFUL_BODY);
--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -14,7 +14,7 @@
 use filberttrail_kernel::{Error, Result};
 use filberttrail_platform::store::{CONFIGURATION, CONFIGURATION_NAME, OUTS, UPSTREAMS};
 use filberttrail_platform_stand_in::store::Mode;
-use filberttrail_platform_stand_in::{Script, Store, caller};
+use filberttrail_platform_stand_in::{Kind, Script, Store, caller};
 use filberttrail_test_support::process::ProcessSignal;
 use serde_json::json;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -428,7 +428,9 @@
                         let gateway = run.request_id.split('-').nth(1);
                         let gateway = gateway.and_then(|index| index.parse().ok());
                         let gateway = gateway.unwrap_or_default();
-                        evidence.harmful_runs.push(HarmfulRun { gateway, at });
+                        let has_path = |kind: &Kind| run.request_line.ends_with(kind.path());
+                        let kind = callers::KINDS.into_iter().find(has_path).unwrap_or(Kind::Read);
+                        evidence.harmful_runs.push(HarmfulRun { kind, gateway, at });
                         continue;
                     }
                     let faithful = caller::is_forwarded_unchanged(&run);
--- a/crates/filberttrail-soak/src/evidence.rs
+++ b/crates/filberttrail-soak/src/evidence.rs
@@ -78,6 +78,8 @@
 /// One execution of a request that ends its upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HarmfulRun {
+    /// The kind of request. Those of one kind are the same request.
+    pub kind: Kind,
     /// Index of the gateway that sent it.
     pub gateway: usize,
     /// When the upstream had received the complete request.
--- a/crates/filberttrail-soak/src/verdict.rs
+++ b/crates/filberttrail-soak/src/verdict.rs
@@ -1,5 +1,6 @@
 //! The verdict on a run: checks each promise against the evidence.
 
+use crate::callers::KINDS;
 use crate::evidence::{Attempt, Component, End, Evidence, HarmfulRun, Run};
 use filberttrail_bench::failures::{Promise, Report};
 use filberttrail_fleet::budget::Terms;
@@ -292,17 +293,21 @@
 /// the third, undisturbed gateways send it a few times more at most.
 fn check_harmful_runs(evidence: &Evidence, bounds: &Bounds) -> Promise {
     let mut promise = Promise::new("a request that crashes upstreams is stopped", "blame");
-    let mut runs: Vec<&HarmfulRun> = evidence.harmful_runs.iter().collect();
-    runs.sort_by_key(|run| run.at);
-    let Some(third) = runs.get(HARMFUL_RUNS - 1) else { return promise };
-    let counts = |run: &&&HarmfulRun| {
-        let from = run.at.saturating_sub(bounds.settle);
-        run.at > third.at + bounds.settle
-            && [Component::Gateway(run.gateway), Component::Store]
-                .iter()
-                .all(|component| evidence.is_undisturbed(*component, from, run.at))
-    };
-    let late: Vec<_> = runs.iter().filter(counts).collect();
-    promise.record_case((late.len() > HARMFUL_RUNS).then(|| format!("{late:?} after {third:?}")));
+    for kind in KINDS {
+        let of_kind = |run: &&HarmfulRun| run.kind == kind;
+        let mut runs: Vec<&HarmfulRun> = evidence.harmful_runs.iter().filter(of_kind).collect();
+        runs.sort_by_key(|run| run.at);
+        let Some(third) = runs.get(HARMFUL_RUNS - 1) else { continue };
+        let counts = |run: &&&HarmfulRun| {
+            let from = run.at.saturating_sub(bounds.settle);
+            run.at > third.at + bounds.settle
+                && [Component::Gateway(run.gateway), Component::Store]
+                    .iter()
+                    .all(|component| evidence.is_undisturbed(*component, from, run.at))
+        };
+        let late: Vec<_> = runs.iter().filter(counts).collect();
+        let broken = late.len() > HARMFUL_RUNS;
+        promise.record_case(broken.then(|| format!("{late:?} after {third:?}")));
+    }
     promise
 }
