Let entries of large estates reach a sidecar that may try a suspect

Besides, each offer to a sidecar ranked all upstreams of its service by a hash each, whether it was a suspect or not.

That offers cost less was not measured.

--- a/crates/filberttrail-entry/src/dispatch.rs
+++ b/crates/filberttrail-entry/src/dispatch.rs
@@ -134,13 +134,13 @@
     if !context.settings.disabled.is_enabled(Mechanism::Blame) {
         return Ok(None);
     }
-    let cause = match context.blame.decide(call.subject, crashed, true) {
+    let cause = match context.blame.decide(call.subject, crashed, || true) {
         blame::Decision::Free => return Ok(None),
         blame::Decision::Trial(_) => {
             let Some(view) = context.view() else { return Ok(None) };
             let serving = upstreams_of(&view, call).into_iter().filter(|item| !view.is_out(item));
             let names: Vec<&str> = serving.map(|item| item.name.as_str()).collect();
-            let places = choose_trial_places(call.subject, &names);
+            let places = choose_trial_places(call.subject, &names, crashed);
             return Ok(Some(places.into_iter().map(str::to_string).collect()));
         }
         blame::Decision::Suspect(_) => Cause::Suspect,
--- a/crates/filberttrail-relay/src/blame.rs
+++ b/crates/filberttrail-relay/src/blame.rs
@@ -37,15 +37,19 @@
     }
 
     /// Decides on a request. `crashed` tells whether an upstream crashed under an earlier attempt of
-    /// it, and `may_try` whether it may be tried here if it is a suspect.
-    pub fn decide(&self, subject: SubjectId, crashed: bool, may_try: bool) -> Decision {
-        let turn = match (may_try, crashed) {
+    /// it. `may_try` tells whether it may be tried here, and is only asked if it is a suspect.
+    pub fn decide(
+        &self,
+        subject: SubjectId,
+        crashed: bool,
+        may_try: impl Fn() -> bool,
+    ) -> Decision {
+        self.lock().decide(self.now(), &[subject], |_, _| match (may_try(), crashed) {
             (false, _) => Turn::Never,
             // Most requests that a crash broke off are sound, so each may be tried again once.
             (true, true) => Turn::Retry,
             (true, false) => Turn::Settled,
-        };
-        self.lock().decide(self.now(), &[subject], |_, _| turn)
+        })
     }
 
     /// Begins the trial of suspects at an upstream.
--- a/crates/filberttrail-relay/tests/blame.rs
+++ b/crates/filberttrail-relay/tests/blame.rs
@@ -45,14 +45,14 @@
         let report = receive_report(frames).await;
         assert_eq!(report.accused[0].0, SUBJECT);
     }
-    assert!(matches!(blame.decide(SUBJECT, false, true), Decision::Suspect(_)));
+    assert!(matches!(blame.decide(SUBJECT, false, || true), Decision::Suspect(_)));
 }
 
 #[tokio::test]
 async fn a_sidecar_reports_its_own_crashes_and_keeps_those_of_others_to_itself() {
     let (blame, inbox, mut peers, _view) = start(false);
     inbox.send(Message::Blame(accusation())).expect("it runs");
-    while blame.decide(SUBJECT, false, true) == Decision::Free {
+    while blame.decide(SUBJECT, false, || true) == Decision::Free {
         tokio::task::yield_now().await;
     }
     let own = Crash { upstream: 2, incarnation: 0 };
@@ -74,5 +74,5 @@
     let (peer, mut frames): (Peer, _) = mpsc::unbounded_channel();
     inbox.send(Message::Connected(3, peer)).expect("it runs");
     assert_eq!(receive_report(&mut frames).await.condemned[0].0, SUBJECT);
-    assert_eq!(blame.decide(SUBJECT, false, true), Decision::Condemned(SUBJECT));
+    assert_eq!(blame.decide(SUBJECT, false, || true), Decision::Condemned(SUBJECT));
 }
--- a/crates/filberttrail-sidecar/src/trial.rs
+++ b/crates/filberttrail-sidecar/src/trial.rs
@@ -72,10 +72,13 @@
     if !context.settings.disabled.is_enabled(Mechanism::Blame) {
         return Ok(Vec::new());
     }
-    let may_try = context.serving_names().is_none_or(|names| {
-        let names: Vec<&str> = names.iter().map(String::as_str).collect();
-        choose_trial_places(offer.subject, &names).contains(&context.settings.name.as_str())
-    });
+    let may_try = || {
+        context.serving_names().is_none_or(|names| {
+            let names: Vec<&str> = names.iter().map(String::as_str).collect();
+            let places = choose_trial_places(offer.subject, &names, offer.crashed);
+            places.contains(&context.settings.name.as_str())
+        })
+    };
     match context.blame.decide(offer.subject, offer.crashed, may_try) {
         Decision::Free => Ok(Vec::new()),
         Decision::Trial(suspects) => Ok(suspects),
