--- /dev/null
+++ b/review/common/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-ins that the cases share.
+#![allow(dead_code)]
+
+pub mod deployment;
+pub mod group;
+pub mod http;
+pub mod json;
+pub mod plain;
+pub mod store;
+pub mod system;
