--- a/review/common/group.rs
+++ b/review/common/group.rs
@@ -55,6 +55,8 @@
     /// The part of a prompt that crashes an engine which begins to write on it, and the time until the
     /// engine is back.
     harmful: Option<(String, Duration)>,
+    /// Times at which requests with that part were taken.
+    harmful_arrivals: Vec<Instant>,
     /// Times and ranks of the crashes.
     crashes: Vec<(Instant, usize)>,
     /// Ids of the requests on which an engine has begun to write, with the time.
@@ -75,6 +77,8 @@
     shared: Arc<(Mutex<State>, Condvar)>,
     pub addresses: Vec<SocketAddr>,
     pub service: String,
+    /// Name of an engine that is in no group.
+    single: Option<String>,
 }
 
 fn unix_ms() -> u64 {
@@ -103,6 +107,22 @@
         zones: &[&str],
         store: &Store,
         observer: Observer,
+    ) -> Self {
+        Self::launch(None, service, ips, zones, store, observer)
+    }
+
+    /// Starts an engine that is in no group.
+    pub fn start_single(name: &str, service: &str, ip: IpAddr, zone: &str, store: &Store) -> Self {
+        Self::launch(Some(name.to_string()), service, &[ip], &[zone], store, Box::new(|_, _| {}))
+    }
+
+    fn launch(
+        single: Option<String>,
+        service: &str,
+        ips: &[IpAddr],
+        zones: &[&str],
+        store: &Store,
+        observer: Observer,
     ) -> Self {
         let size = ips.len();
         let new_rank = |rank: usize| {
@@ -116,6 +136,7 @@
             epoch: 1,
             broken: None,
             harmful: None,
+            harmful_arrivals: Vec::new(),
             crashes: Vec::new(),
             begun: Vec::new(),
             ranks,
@@ -130,7 +151,7 @@
             .collect();
         let addresses =
             listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect();
-        let group = Self { shared, addresses, service: service.to_string() };
+        let group = Self { shared, addresses, service: service.to_string(), single };
         let observer = Arc::new(observer);
         for (rank, listener) in listeners.into_iter().enumerate() {
             let (group, observer) = (group.clone(), observer.clone());
@@ -151,7 +172,7 @@
     }
 
     pub fn id(&self, rank: usize) -> String {
-        format!("i-rank{rank}")
+        self.single.clone().unwrap_or_else(|| format!("i-rank{rank}"))
     }
 
     /// Makes the experts of one rank popular.
@@ -176,6 +197,11 @@
         self.shared.0.lock().unwrap().harmful = Some((part.to_string(), back_after));
     }
 
+    /// Returns the times at which requests with the harmful part were taken.
+    pub fn harmful_arrivals(&self) -> Vec<Instant> {
+        self.shared.0.lock().unwrap().harmful_arrivals.clone()
+    }
+
     pub fn crashes(&self) -> Vec<(Instant, usize)> {
         self.shared.0.lock().unwrap().crashes.clone()
     }
@@ -307,12 +333,17 @@
     fn entry(&self, rank: usize, zone: &str, sequence: u64) -> String {
         let state = self.shared.0.lock().unwrap();
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"{zone}","version":"v1","slots":{SLOTS},"state":"ready","coldRemainingMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{},"group":{},"size":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{zone}","version":"v1","slots":{SLOTS},"state":"ready","coldRemainingMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{}{}}}"#,
             self.service,
             self.addresses[rank],
             state.ranks[rank].born,
-            Self::group_json(&state, rank),
-            self.addresses.len()
+            match &self.single {
+                Some(_) => String::new(),
+                None => {
+                    let size = self.addresses.len();
+                    format!(r#","group":{},"size":{size}"#, Self::group_json(&state, rank))
+                }
+            }
         )
     }
 
@@ -536,6 +567,9 @@
             })
         });
         state.ranks[rank].active += 1;
+        if harmful.is_some() {
+            state.harmful_arrivals.push(Instant::now());
+        }
         let (mut seen, epoch, arrived) = (state.step, state.epoch, Instant::now());
         drop(state);
         let after: u64 =
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod deployment;
 pub mod group;
+pub mod harm;
 pub mod http;
 pub mod json;
 pub mod plain;
