--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -14,13 +14,15 @@
 /// Time of calm traffic before the entry is written, and from then to the final fault.
 const CALM: Duration = Duration::from_secs(6);
 const BEFORE_FAULT: Duration = Duration::from_secs(4);
+/// Heartbeat interval of the deployments.
+const BEAT: Duration = Duration::from_millis(1_200);
 /// Time until the processes start again.
 const DOWN: Duration = Duration::from_millis(900);
 /// Time over which the requests after the recovery are sent.
 const JUDGED: Duration = Duration::from_secs(10);
 
 /// Returns an entry from another writer. All are valid JSON by the grammar of RFC 8259.
-fn entry(kind: &str) -> String {
+fn entry(kind: &str, sequence: u64) -> String {
     let field = match kind {
         // A string that is no text: half of a surrogate pair.
         "bytes" => r#""zone":"\ud83d""#.to_string(),
@@ -32,7 +34,7 @@
         other => panic!("ENTRY={other}: choose bytes, number, lists or type"),
     };
     format!(
-        r#"{{"service":"control","address":"127.0.0.1:9","state":"ready","version":"v1","sequence":1,{field}}}"#
+        r#"{{"service":"control","address":"127.0.0.1:9","state":"ready","version":"v1","sequence":{sequence},{field}}}"#
     )
 }
 
@@ -43,26 +45,26 @@
     let record = Arc::new(Record::create(&folder));
     let store = Store::start();
     let processes = Arc::new(Processes::default());
-    let deployment = Deployment::new(
-        "1",
-        11,
-        record.clone(),
-        store.clone(),
-        processes.clone(),
-        Box::new(|_, _| {}),
-    );
+    let deployment =
+        Deployment::new("1", record.clone(), store.clone(), processes.clone(), Box::new(|_, _| {}));
     deployment.start_all(true);
     deployment.wait_until_ready();
     let calm_from = Instant::now();
     deployment.start_clients();
     thread::sleep(CALM);
     if trouble {
-        let entry = entry(&kind);
-        store.put("servers", "x-other", &entry);
         record.say(format!(
-            "servers/x-other is written ({kind}): {}",
-            entry.chars().take(160).collect::<String>()
+            "servers/x-other is written from now on ({kind}): {}",
+            entry(&kind, 1).chars().take(160).collect::<String>()
         ));
+        // Like an engine, the other writer writes its entry at each heartbeat, so that it does not lapse.
+        let (store, kind) = (store.clone(), kind.clone());
+        thread::spawn(move || {
+            for sequence in 1.. {
+                store.put("servers", "x-other", &entry(&kind, sequence));
+                thread::sleep(BEAT);
+            }
+        });
     }
     thread::sleep(BEFORE_FAULT);
     let struck_at = Instant::now();
--- a/review/common/deployment.rs
+++ b/review/common/deployment.rs
@@ -53,17 +53,17 @@
 }
 
 impl Deployment {
-    /// Starts the engines, and prepares the machines of the system. `net` is the third number of their
-    /// loopback addresses.
+    /// Starts the engines, and prepares the machines of the system. Their loopback
+    /// addresses depend on the process, so that two runs beside each other don't meet.
     pub fn new(
         label: &str,
-        net: u8,
         record: Arc<Record>,
         store: Store,
         processes: Arc<Processes>,
         observer: Observer,
     ) -> Self {
         let scratch = system::scratch(label);
+        let net = 60 + (std::process::id() % 180) as u8;
         store.put("config", "main", CONFIGURATION);
         let ip = |host: usize| -> IpAddr { Ipv4Addr::new(127, 0, net, host as u8).into() };
         let engine_ips: Vec<IpAddr> = (0..RANKS).map(|rank| ip(10 + rank)).collect();
