--- a/crates/filberttrail-gateway/src/follow.rs
+++ b/crates/filberttrail-gateway/src/follow.rs
@@ -39,7 +39,7 @@
                 let known = all.iter().filter_map(|object| {
                     let upstream = read(&object.name, &object.value);
                     if upstream.is_none() {
-                        log_unreadable(&hub, kind, object);
+                        hub.note_unreadable(kind, object);
                     }
                     upstream
                 });
@@ -53,7 +53,7 @@
                         Some(upstream) => hub.set_upstream(upstream),
                         None => {
                             if !change.removed {
-                                log_unreadable(&hub, kind, object);
+                                hub.note_unreadable(kind, object);
                             }
                             hub.remove_upstream(&object.name);
                         }
@@ -97,7 +97,7 @@
                 }
                 hub.apply_table(Table::new(configuration));
             }
-            None => log_unreadable(&hub, kind, &object),
+            None => hub.note_unreadable(kind, &object),
         }
     }
 }
@@ -152,15 +152,18 @@
             Some(Update::All(all)) => {
                 slowdowns = all
                     .into_iter()
-                    .filter_map(|object| Some((object.name.clone(), decode_slowdown(&object)?)))
+                    .filter_map(|object| Some((object.name.clone(), read_slowdown(&hub, &object)?)))
                     .collect();
             }
             Some(Update::Changed(changes)) => {
                 for change in keep_last_of_each(changes) {
                     let Change { object, removed } = change;
-                    match decode_slowdown(&object).filter(|_| !removed) {
-                        Some(slowdown) => drop(slowdowns.insert(object.name, slowdown)),
-                        None => drop(slowdowns.remove(&object.name)),
+                    match removed {
+                        true => drop(slowdowns.remove(&object.name)),
+                        false => match read_slowdown(&hub, &object) {
+                            Some(slowdown) => drop(slowdowns.insert(object.name, slowdown)),
+                            None => drop(slowdowns.remove(&object.name)),
+                        },
                     }
                 }
             }
@@ -172,8 +175,14 @@
     }
 }
 
-fn decode_slowdown(object: &Object) -> Option<Slowdown> {
-    serde_json::from_value(object.value.clone()).ok()
+fn read_slowdown(hub: &Hub, object: &Object) -> Option<Slowdown> {
+    let slowdown = serde_json::from_value(object.value.clone()).ok();
+    // A factor below 1 would make the upstream look faster than it is.
+    let slowdown = slowdown.filter(|slowdown: &Slowdown| slowdown.factor >= 1.0);
+    if slowdown.is_none() {
+        hub.note_unreadable(slowdown::KIND, object);
+    }
+    slowdown
 }
 
 /// Keeps only the last change of each object. A snapshot from another entry may be newer than the
@@ -240,8 +249,3 @@
     proof.record(position.at);
     update
 }
-
-fn log_unreadable(hub: &Hub, kind: &str, object: &Object) {
-    let fields = json!({ "kind": kind, "name": object.name, "revision": object.revision });
-    hub.journal.record(Priority::Important, "unreadable_object", fields);
-}
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -11,6 +11,7 @@
 use crate::queue_guard::QueueGuard;
 use crate::slot_request::{Refusal, SlotRequest};
 use crate::state::{DEPARTED_RETENTION, RESTORE_GRACE, State, is_partitioned};
+use crate::unreadable::Unreadable;
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
 use filberttrail_fleet::blame::{SubjectId, TRIAL_ENTRIES};
@@ -71,6 +72,8 @@
     pub blame: Blame,
     /// Proofs that what was read from the store is current.
     pub currency: Currency,
+    /// Unreadable objects that were logged.
+    pub unreadable: Unreadable,
     /// Notified after changes that may have made slots available to waiting requests.
     pub dispatch_requested: Notify,
     state: Mutex<State>,
@@ -108,6 +111,7 @@
             memory: Memory::new(),
             blame,
             currency,
+            unreadable: Unreadable::default(),
             dispatch_requested,
             state,
             draining,
--- a/crates/filberttrail-gateway/src/lib.rs
+++ b/crates/filberttrail-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub(crate) mod state;
 pub mod target;
 pub mod trial;
+pub mod unreadable;
 pub mod verdicts;
 
 pub use daemon::Gateway;
--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     generation: IntGauge,
     store_age: GaugeVec,
     condemned_subjects: IntGauge,
+    unreadable_objects: IntCounterVec,
 }
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -45,6 +46,11 @@
                 "filberttrail_condemned_subjects",
                 "Subjects whose requests are refused because they crash upstreams",
             )?,
+            unreadable_objects: counter(
+                "filberttrail_unreadable_objects_total",
+                "Objects read from the store that could not be decoded",
+                "kind",
+            )?,
             store_age: GaugeVec::new(
                 Opts::new(
                     "filberttrail_store_age_seconds",
@@ -62,6 +68,7 @@
         metrics.registry.register(Box::new(metrics.generation.clone()))?;
         metrics.registry.register(Box::new(metrics.store_age.clone()))?;
         metrics.registry.register(Box::new(metrics.condemned_subjects.clone()))?;
+        metrics.registry.register(Box::new(metrics.unreadable_objects.clone()))?;
         Ok(metrics)
     }
 
@@ -91,6 +98,11 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an object of the store that could not be decoded.
+    pub fn record_unreadable(&self, kind: &str) {
+        self.unreadable_objects.with_label_values(&[kind]).inc();
+    }
+
     /// Records the time that a request waited for a slot.
     pub fn record_wait(&self, wait: Duration) {
         self.wait.observe(wait.as_secs_f64());
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -441,7 +441,7 @@
             let mut entries = (*self.entries()).clone();
             match update {
                 Some(Update::All(all)) => {
-                    entries = all.iter().filter_map(decode_entry).collect();
+                    entries = all.iter().filter_map(|object| read_entry(&hub, object)).collect();
                     // A restored store may lack this entry's registration.
                     let own = entries.get(&hub.settings.name).map(|entry| entry.address);
                     if own != Some(hub.settings.peers) {
@@ -451,9 +451,9 @@
                 }
                 Some(Update::Changed(changes)) => {
                     for change in changes {
-                        match decode_entry(&change.object).filter(|_| !change.removed) {
-                            Some((name, entry)) => drop(entries.insert(name, entry)),
-                            None => drop(entries.remove(&change.object.name)),
+                        entries.remove(&change.object.name);
+                        if !change.removed {
+                            entries.extend(read_entry(&hub, &change.object));
                         }
                     }
                 }
@@ -496,6 +496,14 @@
     let _ = socket.try_send_to(encoded, address);
 }
 
+fn read_entry(hub: &Hub, object: &Object) -> Option<(String, Entry)> {
+    let entry = decode_entry(object);
+    if entry.is_none() {
+        hub.note_unreadable(KIND, object);
+    }
+    entry
+}
+
 fn decode_entry(object: &Object) -> Option<(String, Entry)> {
     let address = object.value.get("address")?.as_str()?.parse().ok()?;
     let data_centre = object.value.get("data_centre").and_then(Value::as_str);
--- a/crates/filberttrail-gateway/src/verdicts.rs
+++ b/crates/filberttrail-gateway/src/verdicts.rs
@@ -43,10 +43,7 @@
     let subjects = stored.iter().filter_map(|object| {
         let subject = parse_subject(&object.name);
         if subject.is_none() {
-            let fields = json!({
-                "kind": KIND, "name": object.name, "revision": object.revision,
-            });
-            hub.journal.record(Priority::Important, "unreadable_object", fields);
+            hub.note_unreadable(KIND, object);
         }
         subject
     });
--- a/crates/filberttrail-gateway/tests/metrics.rs
+++ b/crates/filberttrail-gateway/tests/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the gateway.
 
 use filberttrail_gateway::metrics::Metrics;
+use filberttrail_gateway::unreadable::Unreadable;
 use std::time::Duration;
 
 const BOUND: Duration = Duration::from_millis(3);
@@ -31,3 +32,20 @@
     assert!(text.contains("filberttrail_generation 23"), "{text}");
     assert!(text.contains(r#"filberttrail_store_age_seconds{kind="config"} 1.5"#), "{text}");
 }
+
+/// Guards against a log line for each heartbeat of an unreadable object.
+#[test]
+fn an_unreadable_object_is_logged_once_and_counted_each_time() {
+    let (metrics, unreadable) = (Metrics::new().expect("metrics"), Unreadable::default());
+    let logged: Vec<bool> = ["a", "b", "a", "a"]
+        .into_iter()
+        .map(|name| {
+            metrics.record_unreadable("servers");
+            unreadable.note("servers", name)
+        })
+        .collect();
+    assert_eq!(logged, [true, true, false, false]);
+    assert!(unreadable.note("config", "a"), "names are unique within a kind only");
+    let text = String::from_utf8(metrics.render().expect("metrics")).expect("UTF-8 text");
+    assert!(text.contains(r#"filberttrail_unreadable_objects_total{kind="servers"} 4"#), "{text}");
+}
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{Mutex, Notify, OwnedMutexGuard, mpsc, watch};
 
@@ -27,6 +27,8 @@
 /// The maximum delay before a retry, unless another is set: a recovered store has to be detected
 /// within 1 s.
 const RETRY_DELAY_LIMIT_MS: u64 = 500;
+/// The delay before objects are listed because changes could not be decoded.
+const RELIST_DELAY: Duration = Duration::from_millis(200);
 /// The maximum size of a response body, in bytes.
 const RESPONSE_LIMIT: usize = 8 << 20;
 /// The maximum number of events that wait for the receiver.
@@ -74,6 +76,8 @@
 pub struct Page {
     /// The objects.
     pub objects: Vec<Object>,
+    /// Number of objects that were left out, because they have no readable name.
+    pub skipped: usize,
     /// Whether more pages follow.
     pub more: bool,
     /// The store's revision when it built the page.
@@ -94,6 +98,8 @@
 pub struct Changes {
     /// The changes, oldest first.
     pub changes: Vec<Change>,
+    /// Number of changes that were left out, because their object has no readable name.
+    pub skipped: usize,
     /// The revision from which to watch next.
     pub revision: Revision,
 }
@@ -150,6 +156,8 @@
     probe: Arc<Mutex<()>>,
     /// Notifies of successful calls.
     succeeded: watch::Sender<()>,
+    /// Whether objects without a readable name were left out and logged.
+    has_skipped: AtomicBool,
 }
 
 /// A response and the era of the store that sent it.
@@ -183,6 +191,7 @@
             retry_delay_limit_ms,
             probe,
             succeeded,
+            has_skipped: AtomicBool::new(false),
         })
     }
 
@@ -208,7 +217,13 @@
                 let help = "none needed, the list is read again";
                 return Err(Error::platform(kind, "restored between two pages", help).into());
             }
-            let is_last = !page.more || page.objects.is_empty();
+            self.note_skipped(kind, page.skipped);
+            let is_last = !page.more;
+            let last = page.objects.last().map(|object| &object.name);
+            if !is_last && (last.is_none() || last == after.as_ref()) {
+                let help = "remove the objects of this kind without a readable name";
+                return Err(Error::platform(kind, "no name to read on from", help).into());
+            }
             objects.extend(page.objects.into_iter().map(|object| response.joined(object)));
             if is_last {
                 self.succeeded.send_replace(());
@@ -329,12 +344,28 @@
             return Ok(None);
         }
         expect_ok(kind, &response)?;
-        let Changes { changes, revision } =
-            (self.dialect.read_changes)(&response.body).ok_or_else(|| malformed(kind))?;
+        let Some(changes) = (self.dialect.read_changes)(&response.body) else {
+            // The same change would be in each further response, and may be in no list any more.
+            log::warn!("{kind}: the changes cannot be decoded; the objects are listed again");
+            tokio::time::sleep(RELIST_DELAY).await;
+            return Ok(None);
+        };
+        let Changes { changes, skipped, revision } = changes;
+        self.note_skipped(kind, skipped);
         self.succeeded.send_replace(());
         let joined = |change: Change| Change { object: response.joined(change.object), ..change };
         let changes = changes.into_iter().map(joined).collect();
-        Ok(Some(Changes { changes, revision: revision::join(response.era, revision) }))
+        Ok(Some(Changes { changes, skipped, revision: revision::join(response.era, revision) }))
+    }
+
+    /// Logs objects that were left out, once.
+    fn note_skipped(&self, kind: &str, skipped: usize) {
+        if skipped > 0 && !self.has_skipped.swap(true, Ordering::Relaxed) {
+            log::warn!(
+                "{kind}: {skipped} objects without a readable name are left out, and later ones; \
+                 remove them from the store"
+            );
+        }
     }
 
     /// Sets the number of processes, this one included, that check their watches and report proofs
