Give the duties of entries that are gone to those that run

Cause: two of all registered entries may try a suspect, and nothing removes the registration of a machine that is gone. With six gone and three running, both are gone for 5 of 12 parts. The same list divides the retry budget, the cold bound and the limits of upstreams, and has the members of subsets and relays.

Evidence: in the record of the case refusals name suspects and not verdicts, no verdict is stored, and no engine crashes once the group is back: nobody tried. Ruled out: trials that come to nothing, and a condemned first part.

Change: fleet::Presence tells from messages which entries run; relays tell those of large estates. Trials are up to two of these. A registration without a sign of life for 60 s is marked, which its owner undoes if it reaches the store, and removed after 15 s more; shares of limits change only then. An entry that may have been removed without knowing uses the share of a fresh one.

The tests failed on the old sources: suspects_are_tried_by_gateways_that_run: some suspects are tried by nobody registrations_of_gateways_that_are_gone_leave_the_store: 7 are left a_gateway_that_is_questioned_or_removed_registers_again: not within 60 s

--- a/crates/filberttrail-fleet/src/snapshot.rs
+++ b/crates/filberttrail-fleet/src/snapshot.rs
@@ -53,6 +53,9 @@
     pub address: SocketAddr,
     /// Data centre in which the entry runs.
     pub data_centre: String,
+    /// Whether others ask it for a sign of life (see [`crate::presence`]).
+    #[serde(default)]
+    pub questioned: bool,
 }
 
 /// The state that an entry has read from the store, except for the configuration. Parts that the
--- a/crates/filberttrail-gateway/src/copy.rs
+++ b/crates/filberttrail-gateway/src/copy.rs
@@ -131,12 +131,12 @@
 }
 
 impl Peers {
-    pub(crate) async fn fetch_snapshot(&self, hub: &Hub, address: SocketAddr) {
+    pub(crate) async fn fetch_snapshot(&self, hub: &Arc<Hub>, address: SocketAddr) {
         self.merge_from(hub, address).await;
         self.lag.lock().unwrap_or_else(PoisonError::into_inner).fetching = false;
     }
 
-    async fn merge_from(&self, hub: &Hub, address: SocketAddr) {
+    async fn merge_from(&self, hub: &Arc<Hub>, address: SocketAddr) {
         let mut known = Vec::new();
         if let Err(error) = ciborium::into_writer(&hub.followed_revisions(), &mut known) {
             log::error!("cannot encode the revisions for another entry: {error}");
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -14,18 +14,18 @@
 use crate::unreadable::Unreadable;
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
-use filberttrail_fleet::blame::{SubjectId, TRIAL_ENTRIES};
+use filberttrail_fleet::snapshot::Entry;
 use filberttrail_fleet::snapshot::{Progress, Revision};
-use filberttrail_fleet::subset::{self, Share};
+use filberttrail_fleet::subset::Share;
 use filberttrail_fleet::upstream::Upstream;
-use filberttrail_fleet::{Budget, Loads, Table, balance};
+use filberttrail_fleet::{Budget, Loads, Presence, Table, balance};
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::revision;
 use serde_json::json;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -97,6 +97,7 @@
         let currency = Currency::new(&clock);
         let mut state = State::default();
         state.freshness.tick(clock.now());
+        state.presence = Presence::new(clock.now(), &settings.name, &settings.data_centre);
         let state = Mutex::new(state);
         let draining = AtomicBool::new(false);
         let grace_over = AtomicBool::new(false);
@@ -176,7 +177,13 @@
 
     /// Records that the process runs, and returns whether it was paused before.
     pub fn record_tick(&self) -> bool {
-        let pause = self.lock().freshness.tick(self.now());
+        let now = self.now();
+        let mut state = self.lock();
+        let pause = state.freshness.tick(now);
+        if pause.is_some() {
+            state.presence.restart(now);
+        }
+        drop(state);
         if let Some(pause) = pause {
             let fields = json!({ "paused_ms": pause.as_millis() as u64 });
             self.journal.record(Priority::Important, "resumed", fields);
@@ -391,9 +398,13 @@
     }
 
     /// Sets the entries that share the budgets.
-    pub fn set_entries<'a>(&self, names: impl Iterator<Item = &'a String>) {
-        let hashes: Vec<u64> = names.map(|name| stable_hash(name.as_bytes())).collect();
+    pub fn set_entries(&self, entries: &BTreeMap<String, Entry>) {
+        let hashes: Vec<u64> = entries.keys().map(|name| stable_hash(name.as_bytes())).collect();
+        let located =
+            entries.iter().map(|(name, entry)| (name.as_str(), entry.data_centre.as_str()));
+        let now = self.now();
         let mut state = self.lock();
+        state.presence.set_entries(now, located);
         state.entries = Some(hashes.len().max(1) as u32);
         state.entry_hashes = hashes;
         self.update_subsets(&mut state);
@@ -414,12 +425,6 @@
         self.lock().verdicts_known
     }
 
-    /// Returns whether this entry is one of those that may try a suspect.
-    pub fn may_try(&self, subject: SubjectId) -> bool {
-        let entry = stable_hash(self.settings.name.as_bytes());
-        subset::is_member(entry, &self.lock().entry_hashes, subject, TRIAL_ENTRIES)
-    }
-
     pub(crate) fn update_subsets(&self, state: &mut State) {
         let entries = state.entries.unwrap_or(ASSUMED_ENTRIES);
         let entry = stable_hash(self.settings.name.as_bytes());
--- a/crates/filberttrail-gateway/src/message.rs
+++ b/crates/filberttrail-gateway/src/message.rs
@@ -4,6 +4,7 @@
 use crate::intake::Told;
 use filberttrail_fleet::blame::Report;
 use filberttrail_fleet::currency::Ages;
+use filberttrail_fleet::presence::Silence;
 use filberttrail_fleet::snapshot::Progress;
 use filberttrail_fleet::upstream;
 use serde::{Deserialize, Serialize};
@@ -72,4 +73,7 @@
     /// Number of condemned subjects, if the entry knows all of them. A report contains some.
     #[serde(default)]
     pub verdicts: Option<u32>,
+    /// Entries that have been silent, as far as the sender hears or is told of them.
+    #[serde(default)]
+    pub silent: Vec<Silence>,
 }
--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -8,15 +8,17 @@
 use crate::follow::{self, Pick, RELAXED_CHECK_INTERVAL, Update};
 use crate::id_hash::IdHash;
 use crate::message::{self, Kind, Message};
+use crate::presence::PRESENCE_INTERVAL;
+use crate::registry::{KIND, Registry, read_entry};
 use crate::{Hub, Settings};
 use filberttrail_fleet::Overlay;
+use filberttrail_fleet::presence::Hearing;
 use filberttrail_fleet::snapshot::{Entry, Progress};
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::Objects;
-use filberttrail_store::feed::{Object, Written};
 use filberttrail_web::Client;
-use serde_json::{Value, json};
+use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,8 +26,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
-/// The kind of object under which entries register to discover each other.
-pub const KIND: &str = "filberttrail-entries";
 /// Period of the messages while there is load and the number of entries is small.
 const ADVERTISE_PERIOD: Duration = Duration::from_millis(100);
 /// Number of entries up to which that period applies. With more entries the period grows, so that
@@ -47,8 +47,6 @@
 /// Delay before the entries are read from the store when the whole system starts for the first
 /// time, so that most of them have registered.
 const FIRST_START_DELAY: Duration = Duration::from_millis(800);
-/// Delay before a failed registration is retried.
-const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// Notifications that interrupt a pending watch of the store, per kind of object.
 #[derive(Default)]
@@ -105,6 +103,7 @@
     watching: watch::Sender<bool>,
     watching_entries: watch::Sender<bool>,
     objects: Arc<Objects>,
+    registry: Arc<Registry>,
     /// Notifications that interrupt the pending watches of the store.
     pub wakes: WatchWakes,
     pub(crate) client: Client,
@@ -138,6 +137,7 @@
             watching,
             watching_entries,
             objects,
+            registry: Arc::default(),
             wakes: WatchWakes::default(),
             client: Client::new(),
             lag: Mutex::default(),
@@ -187,6 +187,7 @@
     pub async fn run_advertise(self: Arc<Self>, hub: Arc<Hub>, socket: Arc<UdpSocket>) {
         let mut idle = false;
         let mut advertised = Progress::default();
+        let mut presence_at = Duration::ZERO;
         for round in 0u64.. {
             let entries = self.entries().len() as u32;
             let direct = Overlay::is_direct(entries as usize);
@@ -200,6 +201,7 @@
                 self.wakes.notify_all();
             }
             self.update_watching(&hub);
+            self.update_presence(&hub, direct, &mut presence_at);
             hub.remove_expired();
             if hub.take_restore_end() {
                 self.wakes.upstreams.notify_one();
@@ -226,6 +228,22 @@
         }
     }
 
+    /// Looks at which other entries run, from time to time, and at the registrations of those that
+    /// are gone.
+    fn update_presence(&self, hub: &Arc<Hub>, direct: bool, next_at: &mut Duration) {
+        let now = hub.now();
+        hub.set_hearing(match direct {
+            true => Hearing::All,
+            false if self.overlay().is_relay(now) => Hearing::DataCentre,
+            false => Hearing::Relays,
+        });
+        if now >= *next_at {
+            *next_at = now + PRESENCE_INTERVAL;
+            hub.update_presence();
+            self.registry.collect(hub, &self.objects);
+        }
+    }
+
     /// Sends this entry's load to the relays of its data centre and, if it acts as a relay itself,
     /// the load of the data centre to the relays of the others.
     fn send_to_relays(&self, hub: &Hub, socket: &UdpSocket) {
@@ -296,6 +314,7 @@
         let now = hub.now();
         let Message { kind, entry, data_centre, loads, changed, ages, leaving, blame, .. } =
             message;
+        let silent = message.silent;
         let asked_at = match kind {
             Kind::Answer { asked_at, .. } => Some(Duration::from_millis(asked_at)),
             _ => None,
@@ -307,6 +326,7 @@
         hub.blame.receive(&blame, pass_on);
         hub.pause_crashed(&blame);
         hub.record_news();
+        hub.record_message(&entry);
         let known = hub.blame.count_condemned();
         if message.verdicts.is_some_and(|verdicts| known >= verdicts as usize) {
             hub.note_verdicts_known();
@@ -332,8 +352,11 @@
                 for (name, age_ms) in heard {
                     hub.record_heard(&name, Duration::from_millis(age_ms));
                 }
+                // A relay hears the entries of its data centre, and relays of others report to it. What
+                // it told itself must not come back to it.
                 if !self.overlay().is_relay(now) {
                     hub.receive_load(RELAYED, loads);
+                    hub.receive_silent(&silent);
                 }
             }
             Kind::Sum { entries } => {
@@ -341,6 +364,7 @@
                 overlay.record_asked(now);
                 overlay.record_answer(now, &entry, None);
                 drop(overlay);
+                hub.receive_silent(&silent);
                 if self.accept_sum(now, &data_centre, &entry, entries) {
                     hub.receive_load(&format!("{DATA_CENTRE_PREFIX}{data_centre}"), loads);
                 }
@@ -416,8 +440,9 @@
         }
     }
 
-    pub(crate) fn set_entries(&self, hub: &Hub, entries: BTreeMap<String, Entry>) {
-        hub.set_entries(entries.keys());
+    pub(crate) fn set_entries(&self, hub: &Arc<Hub>, entries: BTreeMap<String, Entry>) {
+        self.registry.note_entries(hub, &self.objects, &entries);
+        hub.set_entries(&entries);
         let count = entries.len();
         *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(entries);
         hub.journal.record(Priority::Important, "entries", json!({ "count": count }));
@@ -427,7 +452,7 @@
     /// Registers this entry and follows the registrations of the others.
     pub async fn run_follow(self: Arc<Self>, hub: Arc<Hub>) {
         let objects = self.objects.clone();
-        register(&hub, &objects).await;
+        self.registry.register(&hub, &objects).await;
         if hub.settings.first_start {
             tokio::time::sleep(FIRST_START_DELAY).await;
         }
@@ -442,12 +467,6 @@
             match update {
                 Some(Update::All(all)) => {
                     entries = all.iter().filter_map(|object| read_entry(&hub, object)).collect();
-                    // A restored store may lack this entry's registration.
-                    let own = entries.get(&hub.settings.name).map(|entry| entry.address);
-                    if own != Some(hub.settings.peers) {
-                        let (hub, objects) = (hub.clone(), objects.clone());
-                        tokio::spawn(async move { register(&hub, &objects).await });
-                    }
                 }
                 Some(Update::Changed(changes)) => {
                     for change in changes {
@@ -468,6 +487,11 @@
 }
 
 fn build_message(hub: &Hub, kind: Kind, loads: Vec<(IdHash, u32)>) -> Message {
+    let silent = match kind {
+        Kind::Load | Kind::Ask { .. } => Vec::new(),
+        Kind::Answer { .. } => hub.report_silent(false),
+        Kind::Sum { .. } => hub.report_silent(true),
+    };
     Message {
         kind,
         entry: hub.settings.name.clone(),
@@ -478,6 +502,7 @@
         leaving: hub.leaving_upstreams(),
         limits: hub.told_limits(),
         blame: hub.blame.report(),
+        silent,
         verdicts: hub.knows_verdicts().then(|| hub.blame.count_condemned() as u32),
     }
 }
@@ -495,40 +520,3 @@
     // A congested link may drop datagrams. The next message carries the same state.
     let _ = socket.try_send_to(encoded, address);
 }
-
-fn read_entry(hub: &Hub, object: &Object) -> Option<(String, Entry)> {
-    let entry = decode_entry(object);
-    if entry.is_none() {
-        hub.note_unreadable(KIND, object);
-    }
-    entry
-}
-
-fn decode_entry(object: &Object) -> Option<(String, Entry)> {
-    let address = object.value.get("address")?.as_str()?.parse().ok()?;
-    let data_centre = object.value.get("data_centre").and_then(Value::as_str);
-    let data_centre = data_centre.unwrap_or_default().to_string();
-    Some((object.name.clone(), Entry { address, data_centre }))
-}
-
-async fn register(hub: &Hub, objects: &Objects) {
-    let name = &hub.settings.name;
-    let value = json!({
-        "address": hub.settings.peers.to_string(), "data_centre": hub.settings.data_centre,
-    });
-    let mut expected_revision = None;
-    loop {
-        match objects.put(KIND, name, &value, expected_revision).await {
-            Ok(Written::Done(_)) => return,
-            Ok(Written::Conflict(Some(object))) if object.value == value => return,
-            Ok(Written::Conflict(object)) => {
-                expected_revision = object.map(|object| object.revision)
-            }
-            Err(error) => {
-                let fields = json!({ "fault": error.current_context().to_string() });
-                hub.journal.record(Priority::Important, "not_registered", fields);
-                tokio::time::sleep(REGISTER_RETRY_DELAY).await;
-            }
-        }
-    }
-}
--- a/crates/filberttrail-gateway/src/settings.rs
+++ b/crates/filberttrail-gateway/src/settings.rs
@@ -31,6 +31,9 @@
     pub cold_slack: f64,
     /// Time within which an acknowledged configuration has to be in force.
     pub apply_within: Duration,
+    /// Time without a sign of life after which the registration of an entry is questioned, to be
+    /// removed unless the entry registers again.
+    pub retention: Duration,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// Maximum number of connections from callers.
--- a/crates/filberttrail-gateway/src/state.rs
+++ b/crates/filberttrail-gateway/src/state.rs
@@ -9,7 +9,7 @@
 use filberttrail_fleet::snapshot::Progress;
 use filberttrail_fleet::subset::{self, Share};
 use filberttrail_fleet::{
-    Admission, Budget, Candidate, Freshness, Loads, Table, balance, upstream,
+    Admission, Budget, Candidate, Freshness, Loads, Presence, Table, balance, upstream,
 };
 use filberttrail_kernel::digest::stable_hash;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -71,6 +71,10 @@
     pub told_limits: usize,
     /// Hashes of the names of all entries.
     pub entry_hashes: Vec<u64>,
+    /// Which of them run.
+    pub presence: Presence,
+    /// Names of the entries that were last logged as silent.
+    pub silent_entries: Vec<String>,
     /// Loads that other entries reported.
     pub loads: Loads,
     /// Ids of the candidates, by their hash.
--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -48,6 +48,8 @@
     pub stale_changes: fn(kind: &str, after: Revision) -> String,
     /// Builds the path of one object.
     pub object: fn(kind: &str, name: &str) -> String,
+    /// Builds the path of one object, for a call that fails if its revision is another one.
+    pub object_at: fn(kind: &str, name: &str, revision: Revision) -> String,
     /// Decodes one page of a list; `None` if it is malformed.
     pub read_page: fn(&[u8]) -> Option<Page>,
     /// Decodes changes; `None` if they are malformed.
@@ -290,6 +292,22 @@
         expect_ok(kind, &response)
     }
 
+    /// Removes an object if its revision is still `expected`. Returns whether it was.
+    ///
+    /// A revision of an earlier era counts as another one. After an error, the object may have been
+    /// removed or may still be.
+    pub async fn delete_at(&self, kind: &str, name: &str, expected: Revision) -> Result<bool> {
+        if Some(revision::era(expected)) < self.era() {
+            return Ok(false);
+        }
+        let path = (self.dialect.object_at)(kind, name, revision::number(expected));
+        let response = self.call(Method::DELETE, &path, Vec::new(), CALL_TIMEOUT).await?;
+        match response.status {
+            StatusCode::CONFLICT | StatusCode::NOT_FOUND => Ok(false),
+            _ => expect_ok(kind, &response).map(|()| true),
+        }
+    }
+
     /// Lists a kind and then watches it until the receiver is dropped.
     ///
     /// A pending watch is checked once nothing has proven for `check_interval` that there are no
