Bear counts and passes near the largest number

Report of another operator: a number too large in what an engine says ended the machines that read it. A coordinator added up counts and passes that an engine states without a check: with overflow checks it ends, without them the popularity of experts and the pass of a switch wrap.

The test failed before: counts_and_passes_near_the_largest_number_do_not_ overflow: attempt to add with overflow. Sums saturate, or are made of floats.

--- a/crates/filberttrail-rebalance/src/popularity.rs
+++ b/crates/filberttrail-rebalance/src/popularity.rs
@@ -27,13 +27,13 @@
     /// Adds a window that ends at `now`: how often each expert was selected in it, layer by layer,
     /// summed over `ranks` ranks. A window without tokens is ignored.
     pub fn observe(&mut self, now: Duration, window: &[u64], layers: usize, ranks: usize) {
-        let total: u64 = window.iter().sum();
-        if layers == 0 || !window.len().is_multiple_of(layers) || total == 0 {
+        let is_empty = window.iter().all(|count| *count == 0);
+        if layers == 0 || !window.len().is_multiple_of(layers) || is_empty {
             return;
         }
         let experts = window.len() / layers;
         let shares = window.chunks(experts).map(|layer| {
-            let sum = layer.iter().sum::<u64>().max(1) as f64;
+            let sum = layer.iter().map(|count| *count as f64).sum::<f64>().max(1.0);
             layer.iter().map(|count| *count as f64 / sum).collect::<Vec<f64>>()
         });
         let shares: Vec<Vec<f64>> = shares.collect();
--- a/crates/filberttrail-rebalance/src/rollout.rs
+++ b/crates/filberttrail-rebalance/src/rollout.rs
@@ -62,7 +62,7 @@
     }
     let latest_pass = known.iter().map(|report| report.pass).max().unwrap_or_default();
     let Some(switch_pass) = plan.switch_pass else {
-        return prepare_ranks(plan, reports, latest_pass + switch_lead);
+        return prepare_ranks(plan, reports, latest_pass.saturating_add(switch_lead));
     };
     let armed = |report: &Report| report.armed == Some((plan.version, switch_pass));
     let committed = known.iter().any(|report| armed(report) || switched(report));
@@ -76,7 +76,7 @@
             return Step::Schedule(pass);
         }
         if latest_pass >= switch_pass {
-            return Step::Schedule(latest_pass + switch_lead);
+            return Step::Schedule(latest_pass.saturating_add(switch_lead));
         }
     }
     if let Some((rank, pass)) = orphaned.filter(|_| committed) {
--- a/crates/filberttrail-rebalance/src/sampler.rs
+++ b/crates/filberttrail-rebalance/src/sampler.rs
@@ -42,6 +42,8 @@
     if sum.is_empty() {
         sum.extend_from_slice(increments);
     } else if sum.len() == increments.len() {
-        sum.iter_mut().zip(increments).for_each(|(sum, increment)| *sum += increment);
+        sum.iter_mut().zip(increments).for_each(|(sum, increment)| {
+            *sum = sum.saturating_add(*increment);
+        });
     }
 }
--- a/crates/filberttrail-rebalance/tests/popularity.rs
+++ b/crates/filberttrail-rebalance/tests/popularity.rs
@@ -1,7 +1,9 @@
 //! Tests of the popularity estimate from cumulative expert counts.
 
+use filberttrail_rebalance::Plan;
 use filberttrail_rebalance::popularity::Estimator;
-use filberttrail_rebalance::report::Counts;
+use filberttrail_rebalance::report::{Counts, Report};
+use filberttrail_rebalance::rollout::{self, Step};
 use filberttrail_rebalance::sampler::{self, Sampler};
 use std::time::Duration;
 
@@ -91,3 +93,41 @@
         assert!((least..=most).contains(&shown), "{ranks} ranks: {shown}");
     }
 }
+
+/// Guards against a coordinator that ends because an engine reports numbers near the largest one.
+#[test]
+fn counts_and_passes_near_the_largest_number_do_not_overflow() {
+    let mut rank = Rank::default();
+    rank.observe(at(0), counts(&[0, 0]), 1);
+    rank.observe(at(200), counts(&[u64::MAX, u64::MAX]), 1);
+    assert_eq!(rank.popularity.layers(), [vec![0.5, 0.5]]);
+    let mut sum = Vec::new();
+    for _ in 0..2 {
+        sampler::add(&mut sum, &[u64::MAX, 1]);
+    }
+    assert_eq!(sum, [u64::MAX, 2]);
+    let report = Report {
+        group: "g".to_string(),
+        epoch: 1,
+        rank: 0,
+        size: 1,
+        open: true,
+        incarnation: 1,
+        slowdown: 1.0,
+        pass: u64::MAX,
+        map: 1,
+        prepared: Some(2),
+        armed: None,
+        held: None,
+    };
+    let plan = Plan {
+        epoch: 1,
+        version: 2,
+        map: Default::default(),
+        switch_pass: None,
+        holder: 0,
+        writer: String::new(),
+    };
+    let step = rollout::next_step(&plan, &[Some(report)], rollout::SWITCH_LEAD);
+    assert_eq!(step, Step::Schedule(u64::MAX));
+}
