Continue a stream only with numbered events of its type

Report of another operator: the text of an error in the middle of a stream, or a stream that ends as if it were complete.

Cause: any success continued a stream, and events without a number were always passed on.

Change: a continuation has status 200 and the media type of the first response, and its first event a number. All else ends that try.

--- a/crates/filberttrail-fleet/src/event.rs
+++ b/crates/filberttrail-fleet/src/event.rs
@@ -32,6 +32,8 @@
     Gap,
     /// An event exceeds [`EVENT_LIMIT`].
     TooLong,
+    /// A continuation begins with an event that has no number.
+    Unnumbered,
 }
 
 /// Maximum size of an event, in bytes.
@@ -46,13 +48,21 @@
     last: Option<SequenceNumber>,
     /// Whether a sequence number was skipped after the events that the last push returned.
     gap: bool,
+    /// Whether the next event has to have a number.
+    needs_number: bool,
 }
 
 impl Splitter {
     /// Creates a splitter for a stream. Events with sequence numbers up to `last` are dropped;
     /// events without a number are kept.
     pub fn new(last: Option<SequenceNumber>) -> Self {
-        Self { buffer: BytesMut::new(), last, gap: false }
+        Self { last, ..Self::default() }
+    }
+
+    /// Creates a splitter for the continuation of a stream after the event `last`. Only the numbers tell
+    /// that events continue it, so it has to begin with one that has a number.
+    pub fn after(last: Option<SequenceNumber>) -> Self {
+        Self { last, needs_number: last.is_some(), ..Self::default() }
     }
 
     /// Returns the sequence number of the last whole numbered event, or the number passed to `new`
@@ -75,7 +85,8 @@
     ///
     /// Events whose sequence number was received before are dropped. Events without a number are
     /// always returned. Fails if a sequence number is skipped; the events before the gap are
-    /// returned first, and then the next push fails. Fails if an event is too long.
+    /// returned first, and then the next push fails. Fails if an event is too long, or if a continuation
+    /// begins with an event without a number.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, Fault> {
         if self.gap {
             return Err(Fault::Gap);
@@ -95,9 +106,15 @@
                     }
                     _ => {}
                 }
+                self.needs_number = false;
                 self.last = Some(number);
                 first.get_or_insert(number);
                 batch_last = Some(number);
+            } else if self.needs_number {
+                if is_comment(&event) {
+                    continue;
+                }
+                return Err(Fault::Unnumbered);
             }
             out.extend_from_slice(&event);
         }
@@ -123,6 +140,11 @@
     }
 }
 
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 fn parse_sequence_number(event: &[u8]) -> Option<SequenceNumber> {
     let lines = event.split(|byte| *byte == b'\n');
     let value = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/filberttrail-fleet/tests/event.rs
+++ b/crates/filberttrail-fleet/tests/event.rs
@@ -74,3 +74,19 @@
     assert_eq!((events.first, events.last), (Some(1), Some(1)));
     assert_eq!(&events.bytes[..], b"id: 1\ndata: x\n\n");
 }
+
+/// Guards against text that looks like an event and continues no stream.
+#[test]
+fn a_continuation_begins_with_a_numbered_event() {
+    let error = b"event: error\ndata: out of memory\n\n";
+    assert_eq!(Splitter::after(Some(3)).push(error), Err(Fault::Unnumbered));
+    let mut splitter = Splitter::after(Some(3));
+    assert_eq!(splitter.push(b"id: 3\ndata: c\n\n"), Ok(None), "it was received before");
+    assert_eq!(splitter.push(error), Err(Fault::Unnumbered));
+    let mut splitter = Splitter::after(Some(3));
+    assert_eq!(splitter.push(b": still here\n\n"), Ok(None), "a comment says nothing");
+    let events = splitter.push(b"id: 4\ndata: d\n\n").expect("no fault").expect("an event");
+    assert_eq!(events.last, Some(4));
+    assert!(splitter.push(error).is_ok_and(|events| events.is_some()), "the upstream's own event");
+    assert_eq!(Splitter::after(Some(3)).push(b"id: 5\ndata: e\n\n"), Err(Fault::Gap));
+}
--- a/crates/filberttrail-gateway/src/relay.rs
+++ b/crates/filberttrail-gateway/src/relay.rs
@@ -17,8 +17,9 @@
 use filberttrail_web::body::{ChunkStream, Truncated};
 use futures::stream;
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +40,8 @@
     /// `None` if the upstream closes the connection after the response, and `Some(None)` if it
     /// announces no idle timeout.
     idle_timeout: Option<Option<Duration>>,
+    /// The media type of the response, without parameters.
+    media_type: Option<String>,
     /// Whether the response has a length or chunks. The end of one without is the end of its
     /// connection.
     framed: bool,
@@ -55,6 +58,8 @@
     attempts: Attempts,
     splitter: Splitter,
     source: Option<Source>,
+    /// The media type of the response that the caller got, without parameters.
+    media_type: Option<String>,
     /// The upstream that the last source belongs to.
     target: Target,
     /// Events that were read before the response to the caller started.
@@ -77,6 +82,7 @@
         let splitter = Splitter::new(caller_request.after_event);
         let started_at = hub.now();
         let target = Target::new(&source.permit);
+        let media_type = source.media_type.clone();
         let source = Some(source);
         let mut relay = Self {
             hub,
@@ -84,6 +90,7 @@
             attempts,
             splitter,
             source,
+            media_type,
             target,
             first_events: None,
             started_at,
@@ -274,8 +281,8 @@
             id.clone_from(&permit.id);
             let timeout = call::FIRST_EVENT_TIMEOUT;
             match exchange::send(&self.hub, &permit, &self.caller_request, last, timeout).await {
-                Ok(response) if response.head.status.is_success() => {
-                    self.splitter = Splitter::new(last);
+                Ok(response) if self.can_continue_with(&response) => {
+                    self.splitter = Splitter::after(last);
                     self.source = Some(Source::new(permit, trial, response));
                     self.target = target;
                     let fields = json!({
@@ -286,7 +293,9 @@
                 }
                 Ok(response) => {
                     trial.cancel();
-                    failed = Failed::Unusable(format!("status {}", response.head.status));
+                    let UpstreamResponse { head, .. } = response;
+                    let media_type = read_media_type(&head.headers);
+                    failed = Failed::Unusable(format!("status {}, {media_type:?}", head.status));
                 }
                 Err(error) => {
                     failed = error;
@@ -297,6 +306,13 @@
         }
     }
 
+    /// Returns whether a response may hold further events of the stream: one of another type is no part
+    /// of it, whatever its text looks like.
+    fn can_continue_with(&self, response: &UpstreamResponse) -> bool {
+        let UpstreamResponse { head, .. } = response;
+        head.status == StatusCode::OK && read_media_type(&head.headers) == self.media_type
+    }
+
     /// Logs that a stream was not resumed, and whether it goes on where it is.
     fn record_not_resumed(&self, refusal: &Refusal, slow: bool) {
         let fields = json!({
@@ -329,6 +345,7 @@
             permit,
             trial: Some(trial),
             idle_timeout: exchange::parse_idle_timeout(headers),
+            media_type: read_media_type(headers),
             body: response.body,
             connection: response.connection,
             framed,
@@ -348,3 +365,8 @@
         blame::has_lived(self.arrivals, now.saturating_sub(self.first_arrival))
     }
 }
+
+fn read_media_type(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    Some(text.split(';').next().unwrap_or_default().trim().to_ascii_lowercase())
+}
