Keep no connection to an upstream behind a sidecar after a failure

Report of another operator: an engine writes an earlier refusal once more on a kept connection, and clients are told that a request was not run which was.

Sidecars: their upstreams echo no id. A second copy of a 412 does not count as not run, as it names the incarnation expected by then, but the caller of the next request on the connection got it as its answer.

Change: a client can be told after which statuses connections are kept; that of a sidecar keeps them after a success only.

The test failed with all connections kept: connections_are_kept_only_after_ responses_that_allow_it: left: [503, 503, 200], right: [503, 200, 200].

--- a/crates/filberttrail-sidecar/src/context.rs
+++ b/crates/filberttrail-sidecar/src/context.rs
@@ -83,7 +83,7 @@
             ends: 0,
         };
         let metrics = Metrics::new();
-        let client = Client::new();
+        let client = Client::new().with_kept(|status| status.is_success());
         let state = Mutex::new(state);
         Self { settings, incarnation, clock, view, claims, client, metrics, blame, state }
     }
--- a/crates/filberttrail-web/src/client.rs
+++ b/crates/filberttrail-web/src/client.rs
@@ -3,6 +3,7 @@
 use crate::Body;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -28,9 +29,16 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// An HTTP/1 client with a pool of idle connections per address.
-#[derive(Default)]
 pub struct Client {
     idle: Mutex<HashMap<SocketAddr, Vec<SendRequest<Body>>>>,
+    /// Whether a connection is kept after a response with a status.
+    keeps_after: fn(StatusCode) -> bool,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self { idle: Mutex::default(), keeps_after: |_| true }
+    }
 }
 
 /// The error of a request that received no response.
@@ -54,6 +62,12 @@
         Self::default()
     }
 
+    /// Sets after which responses connections are kept for further requests. A faulty server may write a
+    /// response once more, which looks like that to the next request on the connection.
+    pub fn with_kept(self, keeps_after: fn(StatusCode) -> bool) -> Self {
+        Self { keeps_after, ..self }
+    }
+
     /// Sends a request and waits for the response head; the body is streamed.
     ///
     /// There is no timeout on the response: the caller has to set one.
@@ -68,7 +82,7 @@
         };
         let request = match sender.try_send_request(request).await {
             Ok(response) => {
-                self.put_idle(address, sender);
+                self.put_idle(address, sender, response.status());
                 return Ok(response);
             }
             Err(mut error) => match error.take_message() {
@@ -83,7 +97,7 @@
         let mut sender = connect(address).await?;
         match sender.try_send_request(request).await {
             Ok(response) => {
-                self.put_idle(address, sender);
+                self.put_idle(address, sender, response.status());
                 Ok(response)
             }
             Err(mut error) => {
@@ -158,7 +172,10 @@
         }
     }
 
-    fn put_idle(&self, address: SocketAddr, sender: SendRequest<Body>) {
+    fn put_idle(&self, address: SocketAddr, sender: SendRequest<Body>, status: StatusCode) {
+        if !(self.keeps_after)(status) {
+            return;
+        }
         if let Ok(mut idle) = self.idle.lock() {
             let senders = idle.entry(address).or_default();
             if senders.len() < IDLE_LIMIT {
--- a/crates/filberttrail-web/tests/client.rs
+++ b/crates/filberttrail-web/tests/client.rs
@@ -54,3 +54,42 @@
     assert!(!call(&client, address).await, "the connection of the first call is silent");
     assert!(call(&client, address).await, "the next call needs a new connection");
 }
+
+/// Answers the first request on a connection with a refusal, which it writes once more before the
+/// answer to each later one.
+async fn repeat_refusal(mut connection: TcpStream, refuses: bool) {
+    const REFUSAL: &[u8] = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+    let mut buffer = [0; 1024];
+    let mut answered = 0;
+    while matches!(connection.read(&mut buffer).await, Ok(read) if read > 0) {
+        let response = match (refuses, answered) {
+            (true, 0) => REFUSAL.to_vec(),
+            (true, _) => [REFUSAL, RESPONSE].concat(),
+            (false, _) => RESPONSE.to_vec(),
+        };
+        answered += 1;
+        if connection.write_all(&response).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against an earlier refusal that is taken for that of the next request, which runs.
+#[tokio::test]
+async fn connections_are_kept_only_after_responses_that_allow_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut refuses = true;
+        while let Ok((connection, _)) = listener.accept().await {
+            tokio::spawn(repeat_refusal(connection, std::mem::take(&mut refuses)));
+        }
+    });
+    let client = Client::new().with_kept(|status| status.is_success());
+    let mut statuses = Vec::new();
+    for _ in 0..3 {
+        let response = client.call(address, Method::GET, "/", Vec::new(), TIMEOUT, 64).await;
+        statuses.push(response.expect("a response").status().as_u16());
+    }
+    assert_eq!(statuses, [503, 200, 200]);
+}
