Release a hold although popularity is not known

Cause: a new coordinator releases an orphaned hold by a switch, which it proposed only once popularity is known. That comes from tokens, and a held group makes none. Ruled out: a hold that isn't found, and a plan that can't be written.

Change: the decision on a new map is a function without I/O. A held group gets one in any case, without known popularity the one in use. The coordinator is shorter by that.

--- a/crates/filberttrail-rebalance/src/coordinator.rs
+++ b/crates/filberttrail-rebalance/src/coordinator.rs
@@ -6,6 +6,7 @@
 use crate::peer::{Call, Member, Query, Replies, Responder};
 use crate::plan::Plan;
 use crate::popularity::Estimator;
+use crate::proposal::{self, Proposal};
 use crate::report::{Assignment, Report, Shape, Version};
 use crate::rollout::{self, Step};
 use crate::round::Round;
@@ -14,7 +15,7 @@
 use filberttrail_journal::Journal;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::clock;
-use filberttrail_place::{Map, spread};
+use filberttrail_place::Map;
 use filberttrail_store::Objects;
 use filberttrail_store::feed::{Object, Revision, Written};
 use futures::future::join_all;
@@ -46,15 +47,6 @@
 const LOGGED_RANKS: usize = 8;
 /// Minimum interval between two lookups of the ranks' addresses in the store.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Minimum relative reduction of the pass time that justifies a change. Copying slows passes by
-/// about 15% while it lasts, and expert popularity is stable only for some seconds.
-const MIN_GAIN: f64 = 0.06;
-/// Minimum relative reduction while orders get no responses. A switch may then block the group at
-/// its hold, which delays the group's streams.
-const MIN_GAIN_LOSSY: f64 = 0.25;
-/// Time that a rank may spend on copying expert weights for one change, in seconds.
-const COPY_TIME_BUDGET: f64 = 0.4;
-
 /// The coordinating part of a rebalancer. It acts only while its rank is the group's coordinator.
 pub struct Coordinator {
     settings: Settings,
@@ -435,42 +427,27 @@
         let layer =
             |ranks: &Vec<Vec<u32>>| Map { experts: shape.experts as u32, ranks: ranks.clone() };
         let maps: Vec<Map> = map.iter().map(layer).collect();
-        let popularity = self.popularity.layers();
-        if popularity.len() != shape.layers
-            || popularity.iter().any(|shares| shares.len() != shape.experts)
-        {
-            return IDLE_INTERVAL;
-        }
-        // An orphaned hold is released only by a switch, so it justifies a new plan without any
-        // gain.
-        let lossy = self.clock.now() < self.lossy_until;
-        let min_gain = if lossy { MIN_GAIN_LOSSY } else { MIN_GAIN };
         let slowdowns: Vec<f64> =
             round.reports.iter().flatten().map(|report| report.slowdown).collect();
-        let before = spread::compute_pass_time(&maps, popularity, &slowdowns);
-        // The time of a pass with even loads is the number of layers.
-        let best = shape.layers as f64;
-        if best > before * (1.0 - min_gain) && orphaned_hold.is_none() {
-            return IDLE_INTERVAL;
-        }
-        let copies = (COPY_TIME_BUDGET / shape.copy_time.max(f64::MIN_POSITIVE)).floor();
-        let constraints = spread::Constraints {
-            slots: shape.slots,
-            copies_per_layer: shape.copies,
-            copies_per_rank: copies.clamp(1.0, 1_000.0) as usize,
-        };
-        let better = spread::spread(&maps, popularity, &slowdowns, &constraints);
-        let after = spread::compute_pass_time(&better, popularity, &slowdowns);
-        if after > before * (1.0 - min_gain) && orphaned_hold.is_none() {
-            return IDLE_INTERVAL;
-        }
+        let proposal = Proposal::new(&proposal::Inputs {
+            maps: &maps,
+            popularity: self.popularity.layers(),
+            slowdowns: &slowdowns,
+            shape: &shape,
+            lossy: self.clock.now() < self.lossy_until,
+            is_held: orphaned_hold.is_some(),
+        });
+        let Some(Proposal { maps: better, pass_times }) = proposal else { return IDLE_INTERVAL };
         let copies: usize =
             better.iter().zip(&maps).map(|(better, map)| better.moves_from(map)).sum();
         let slow: Vec<(usize, f64)> =
             slowdowns.into_iter().enumerate().filter(|(_, slowdown)| *slowdown > 1.0).collect();
+        let skew = |time: f64| time / shape.layers as f64;
         let fields = json!({
             "group": own.group, "epoch": own.epoch, "map": own.map, "copies": copies, "paces": slow,
-            "skew_before": before / shape.layers as f64, "skew_after": after / shape.layers as f64,
+            "skew_before": pass_times.map(|(before, _)| skew(before)),
+            "skew_after": pass_times.map(|(_, after)| skew(after)),
+            "orphaned_hold": orphaned_hold,
         });
         self.journal.record(Priority::Important, "plan", fields);
         let map = Arc::new(better.into_iter().map(|map| map.ranks).collect());
--- a/crates/filberttrail-rebalance/src/lib.rs
+++ b/crates/filberttrail-rebalance/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer;
 pub mod plan;
 pub mod popularity;
+pub mod proposal;
 pub mod report;
 pub mod rollout;
 pub mod round;
