Try suspected parts one at a time, and clear what a verdict explains

What callers saw: a harmful part came with a new first part that all requests share.

Cause: a request with two suspects was the trial of both, and its crash counted double against each. Ruled out: points from crashes outside trials alone (three of four needed after three crashes), and stored verdicts.

Change: a request with several suspected parts waits up to 2 s for one that has a single part of them, while an upstream is up; if it is tried after that, its crash counts single. A verdict takes the crashes that it explains off all others.

--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -2,7 +2,7 @@
 use super::failures::{Failure, Failures};
 use super::subject::is_whole_request;
 use super::{Crash, Decision, Report, SubjectId, Turn};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 /// Number of entries that may try a suspect. Two, so that the loss of one leaves another.
@@ -27,6 +27,9 @@
 /// tried without settling. Whole requests are suspects all the same, as their trial tells more: nothing
 /// else holds them.
 const TRUST: Duration = Duration::from_secs(10);
+/// Time for which requests with several suspected parts wait for one that has a single part of these,
+/// while an upstream is there to try it. The crash of the latter tells which part caused it.
+const SINGLE_PRECEDENCE: Duration = Duration::from_millis(2_000);
 /// Time for which it is remembered that an answer has lived.
 const LIFE_MEMORY: Duration = Duration::from_secs(60);
 /// Time for which a subject is a suspect because of a single crash. It is longer than a group takes
@@ -55,6 +58,8 @@
 const ACCUSATIONS_LIMIT: usize = 16;
 /// Maximum number of accused subjects, and of condemned ones.
 const SUBJECTS_LIMIT: usize = 1_024;
+/// Maximum number of crashes of which it is remembered what caused them.
+const EXPLAINED_LIMIT: usize = 256;
 /// Maximum number of subjects of which it is remembered that an answer has lived.
 const LIVED_LIMIT: usize = 16_384;
 
@@ -79,9 +84,16 @@
     cleared: BTreeMap<SubjectId, (Duration, Duration)>,
     /// Condemned subjects, and the time of the last request with them.
     condemned: BTreeMap<SubjectId, Duration>,
+    /// Crashes of which a condemned subject was accused, oldest first. They accuse nothing else.
+    explained: VecDeque<Crash>,
+    /// Accusations of subjects that were condemned since the crashes were last explained.
+    convicted: Vec<Record>,
     /// Verdicts that gave way to newer ones.
     displaced: Vec<SubjectId>,
     in_trial: HashMap<SubjectId, Trial>,
+    /// Suspected parts of which requests with several were held back, with the time of the first one
+    /// since the last crash.
+    held_back: HashMap<SubjectId, Duration>,
     failures: Failures,
     /// Suspects that other entries try, with the time at which they were known to, and whether that
     /// is passed on.
@@ -105,12 +117,13 @@
         Self::default()
     }
 
-    /// Decides on a request with these subjects. `turn` tells when this entry may try a suspect with
-    /// it, by the suspect and whether it is the only one.
+    /// Decides on a request with these subjects. `is_up` tells whether an upstream could take it, and
+    /// `turn` when this entry may try a suspect with it, by the suspect and whether it is the only one.
     pub fn decide(
         &mut self,
         now: Duration,
         subjects: &[SubjectId],
+        is_up: impl FnOnce() -> bool,
         turn: impl Fn(SubjectId, bool) -> Turn,
     ) -> Decision {
         if let Some(subject) = subjects.iter().find(|subject| self.condemned.contains_key(subject))
@@ -142,9 +155,32 @@
         if suspects.is_empty() {
             return Decision::Free;
         }
+        if !self.may_try_together(now, &suspects, is_up) {
+            return Decision::Suspect(suspects[0]);
+        }
         Decision::Trial(suspects)
     }
 
+    /// Returns whether suspects may be tried by one request: parts only after requests with one of them
+    /// had the time to come first.
+    fn may_try_together(
+        &mut self,
+        now: Duration,
+        suspects: &[SubjectId],
+        is_up: impl FnOnce() -> bool,
+    ) -> bool {
+        let is_part = |subject: &&SubjectId| !is_whole_request(**subject);
+        let parts: Vec<SubjectId> = suspects.iter().filter(is_part).copied().collect();
+        if parts.len() < 2 {
+            return true;
+        }
+        if !is_up() {
+            return false;
+        }
+        let held_back = parts.iter().map(|part| *self.held_back.entry(*part).or_insert(now));
+        held_back.max().is_some_and(|since| now >= since + SINGLE_PRECEDENCE)
+    }
+
     /// Begins a trial at an upstream, during which no other request with these suspects is sent.
     pub fn begin_trial(&mut self, suspects: &[SubjectId], at: Crash) {
         if suspects.is_empty() {
@@ -194,6 +230,7 @@
         let mut cleared = Vec::new();
         for subject in subjects {
             self.lived.insert(*subject, now);
+            self.held_back.remove(subject);
             if self.accused.remove(subject).is_some() {
                 self.cleared.insert(*subject, (now, now));
                 cleared.push(*subject);
@@ -244,12 +281,34 @@
 
     fn accuse_all(&mut self, now: Duration, failure: &Failure) -> Vec<SubjectId> {
         let Failure { crash, subjects, suspects, alone, at } = failure;
+        // Of several suspects any may be the cause, but whole requests hold all that may be.
         let accuse = |subject: &SubjectId| {
-            let in_trial = *alone && suspects.contains(subject);
+            let decisive = suspects.len() == 1 || is_whole_request(*subject);
+            let in_trial = *alone && decisive && suspects.contains(subject);
             let accusation = Accusation { crash: *crash, at: *at, in_trial };
             self.accuse(now, *subject, accusation, true).then_some(*subject)
         };
-        subjects.iter().filter_map(accuse).collect()
+        let condemned = subjects.iter().filter_map(accuse).collect();
+        self.explain_crashes();
+        condemned
+    }
+
+    /// Clears the other subjects of the crashes that those condemned by now have caused. They were
+    /// there by chance, or are on the same requests.
+    fn explain_crashes(&mut self) {
+        let convicted = std::mem::take(&mut self.convicted);
+        let crashes = convicted.iter().flat_map(|record| &record.accusations);
+        let crashes: Vec<Crash> = crashes.map(|accusation| accusation.crash).collect();
+        if crashes.is_empty() {
+            return;
+        }
+        self.accused.retain(|_, record| {
+            record.accusations.retain(|accusation| !crashes.contains(&accusation.crash));
+            record.last_at().is_some()
+        });
+        self.explained.extend(crashes);
+        let excess = self.explained.len().saturating_sub(EXPLAINED_LIMIT);
+        self.explained.drain(..excess);
     }
 
     /// Records an accusation, which is reported to others if it is news to them. Returns whether the
@@ -261,7 +320,7 @@
         accusation: Accusation,
         news: bool,
     ) -> bool {
-        if self.condemned.contains_key(&subject) {
+        if self.condemned.contains_key(&subject) || self.explained.contains(&accusation.crash) {
             return false;
         }
         if let Some(at) = self.lived.get(&subject).filter(|at| **at > accusation.at) {
@@ -269,6 +328,7 @@
             self.cleared.entry(subject).or_insert((*at, now));
             return false;
         }
+        self.held_back.remove(&subject);
         if !self.accused.contains_key(&subject) && self.accused.len() >= SUBJECTS_LIMIT {
             self.remove_oldest();
         }
@@ -296,7 +356,7 @@
                 self.displaced.push(oldest);
             }
         }
-        self.accused.remove(&subject);
+        self.convicted.extend(self.accused.remove(&subject));
         self.condemned.insert(subject, now).is_none()
     }
 
@@ -393,6 +453,7 @@
             let [_, own] = self.record_end(now, crash);
             condemned.extend(own);
         }
+        self.explain_crashes();
         condemned
     }
 
@@ -404,6 +465,7 @@
             record.last_at().is_some()
         });
         self.failures.remove_expired(now);
+        self.held_back.retain(|subject, _| self.accused.contains_key(subject));
         self.tried.retain(|_, (at, _)| now < *at + TRIED_LIFETIME);
         self.cleared.retain(|_, (_, since)| now < *since + NEWS_LIFETIME);
         if self.lived.len() > LIVED_LIMIT {
--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -20,7 +20,7 @@
 }
 
 fn decide(ledger: &mut Ledger, at: Duration, parts: &[SubjectId]) -> Decision {
-    ledger.decide(at, parts, |_, _| Turn::Now)
+    ledger.decide(at, parts, || true, |_, _| Turn::Now)
 }
 
 #[test]
@@ -102,15 +102,18 @@
 fn only_entries_that_may_try_a_suspect_send_it() {
     let mut ledger = Ledger::new();
     ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
-    assert_eq!(ledger.decide(ms(1), &[BAD], |_, _| Turn::Never), Decision::Suspect(BAD));
+    assert_eq!(ledger.decide(ms(1), &[BAD], || true, |_, _| Turn::Never), Decision::Suspect(BAD));
 }
 
 #[test]
 fn crashes_that_are_far_apart_condemn_a_part_too() {
     let mut ledger = Ledger::new();
     ledger.record_crash(ms(0), crash(1), &[BAD], &[]);
-    assert_eq!(ledger.decide(ms(14_000), &[BAD], |_, _| Turn::Never), Decision::Suspect(BAD));
-    assert_eq!(ledger.decide(ms(16_000), &[BAD], |_, _| Turn::Never), Decision::Free);
+    assert_eq!(
+        ledger.decide(ms(14_000), &[BAD], || true, |_, _| Turn::Never),
+        Decision::Suspect(BAD)
+    );
+    assert_eq!(ledger.decide(ms(16_000), &[BAD], || true, |_, _| Turn::Never), Decision::Free);
     ledger.record_crash(ms(60_000), crash(2), &[BAD], &[]);
     assert_eq!(decide(&mut ledger, ms(200_000), &[BAD]), Decision::Trial(vec![BAD]));
     assert_eq!(ledger.record_crash(ms(200_050), crash(3), &[BAD], &[BAD]), [BAD]);
@@ -143,7 +146,7 @@
     assert_eq!(other.report(ms(130_000)).accused.len(), 4, "a reminder, which is not passed on");
     for part in 0..500 {
         other.record_crash(ms(130_000), crash(1_000), &[part], &[]);
-        let decision = other.decide(ms(150_000), &[part], |_, _| Turn::Never);
+        let decision = other.decide(ms(150_000), &[part], || true, |_, _| Turn::Never);
         assert_eq!(decision, Decision::Suspect(part));
     }
 }
@@ -221,7 +224,10 @@
     assert_eq!(decide(&mut ledger, ms(10), &[BAD]), Decision::Free, "it may have been slow");
     assert_eq!(ledger.record_end(ms(100), crash(2)), [Vec::new(), Vec::new()], "another one");
     assert_eq!(ledger.record_end(ms(3_000), crash(1)), [vec![BAD], Vec::new()]);
-    assert_eq!(ledger.decide(ms(3_001), &[BAD], |_, _| Turn::Never), Decision::Suspect(BAD));
+    assert_eq!(
+        ledger.decide(ms(3_001), &[BAD], || true, |_, _| Turn::Never),
+        Decision::Suspect(BAD)
+    );
     // While the outcome of a trial is open, nobody tries again.
     ledger.begin_trial(&[BAD], crash(3));
     ledger.record_failure(ms(4_000), crash(3), &[BAD], &[BAD]);
@@ -288,6 +294,8 @@
     bad_sends: Vec<u64>,
     sound_sent: usize,
     sound_refused: usize,
+    /// Times of the sound requests while a group was open, and whether they were sent.
+    sound: Vec<(u64, bool)>,
     condemned: Vec<SubjectId>,
     next_crash: u32,
     harmful_from_ms: u64,
@@ -313,6 +321,8 @@
     restarts_ms: u64,
     /// Time until which upstreams survive the bad part.
     harmful_from_ms: u64,
+    /// The first part of all requests from when the bad part comes, as with a new template.
+    new_first: SubjectId,
 }
 
 const TERMS: Terms = Terms {
@@ -327,7 +337,10 @@
     other_crashes_ms: 0,
     restarts_ms: 0,
     harmful_from_ms: 0,
+    new_first: FIRST,
 };
+/// Time from which the bad part comes, when the estate has been in use for some seconds.
+const BAD_FROM_MS: u64 = 5_000;
 /// Time that a group takes to open after a crash.
 const CLOSED_MS: u64 = 4_500;
 /// Times from the start of an answer until it crashes its upstream, has lived, and ends.
@@ -347,6 +360,7 @@
             bad_sends: Vec::new(),
             sound_sent: 0,
             sound_refused: 0,
+            sound: Vec::new(),
             condemned: Vec::new(),
             next_crash: 0,
             harmful_from_ms: terms.harmful_from_ms,
@@ -378,12 +392,12 @@
             for _ in 0..count(&mut random, terms.sound) {
                 // Few subjects are asked for often, most of them rarely.
                 let subject = 100 + (random.f64().powi(3) * 400.0) as u64;
-                estate.send(&mut random, now, terms, vec![FIRST, subject]);
+                let first = if now >= BAD_FROM_MS { terms.new_first } else { FIRST };
+                estate.send(&mut random, now, terms, vec![first, subject]);
             }
-            // The bad part appears when the estate has been in use for some seconds.
-            if now >= 5_000 {
+            if now >= BAD_FROM_MS {
                 for _ in 0..count(&mut random, terms.bad) {
-                    estate.send(&mut random, now, terms, vec![FIRST, BAD]);
+                    estate.send(&mut random, now, terms, vec![terms.new_first, BAD]);
                 }
             }
             if terms.other_crashes_ms > 0 && random.u64(0..terms.other_crashes_ms / 10) == 0 {
@@ -413,18 +427,24 @@
             let ahead = (0..terms.entries).filter(|other| rank(*other) > rank(entry));
             if ahead.count() < TRIAL_ENTRIES { Turn::Now } else { Turn::Never }
         };
-        let decision = self.entries[entry].decide(ms(now), &parts, may_try);
+        let decision = self.entries[entry].decide(ms(now), &parts, || true, may_try);
         let suspects = match decision {
             Decision::Free => Vec::new(),
             Decision::Trial(suspects) => suspects,
             Decision::Suspect(_) | Decision::Condemned(_) => {
                 self.sound_refused += usize::from(!is_bad);
+                if !is_bad {
+                    self.sound.push((now, false));
+                }
                 return;
             }
         };
         match is_bad {
             true if now >= self.harmful_from_ms => self.bad_sends.push(now),
-            _ => self.sound_sent += 1,
+            _ => {
+                self.sound_sent += 1;
+                self.sound.push((now, true));
+            }
         }
         let group = open[random.usize(0..open.len())];
         let upstream = random.u32(0..terms.ranks);
@@ -568,3 +588,67 @@
         assert!(estate.sound_refused * 20 < all, "seed {seed}: {} of {all}", estate.sound_refused);
     }
 }
+
+/// Guards against a sound part that is condemned with the harmful one, as all harmful requests have
+/// both: requests with it were refused for good.
+#[test]
+fn a_sound_part_of_all_harmful_requests_outlasts_the_harmful_one() {
+    for seed in 400..460 {
+        for (entries, bad) in [(2, 0.42), (3, 0.14), (3, 0.42), (7, 0.42)] {
+            let new_first = 10_000 + seed;
+            let terms =
+                Terms { entries, groups: 1, ranks: 12, sound: 0.14, bad, new_first, ..TERMS };
+            let estate = Estate::play(terms, seed, 50_000);
+            let case = format!("seed {seed}, {entries} entries, {bad} bad requests");
+            let sound = estate.condemned.iter().find(|part| **part != BAD);
+            assert_eq!(sound, None, "{case}: a sound part was condemned");
+            assert!(estate.crashes.len() <= 5, "{case}: crashes at {:?}", estate.crashes);
+            let last = estate.crashes.last().copied().expect("a crash");
+            let judged = estate.sound.iter().filter(|(at, _)| *at > last + 2 * SETTLING_MS);
+            let (all, sent) = judged.fold((0, 0), |(all, sent), (_, was_sent)| {
+                (all + 1, sent + usize::from(*was_sent))
+            });
+            assert!(2 * sent >= all, "{case}: {sent} of {all} sound requests were sent");
+        }
+    }
+}
+
+#[test]
+fn a_crash_under_a_trial_of_several_parts_condemns_none_of_them_sooner() {
+    let mut ledger = Ledger::new();
+    ledger.record_crash(ms(0), crash(1), &[FIRST, BAD], &[]);
+    assert_eq!(
+        ledger.decide(ms(5_000), &[FIRST, BAD], || false, |_, _| Turn::Now),
+        Decision::Suspect(FIRST),
+        "no upstream could try one of them alone"
+    );
+    assert_eq!(decide(&mut ledger, ms(6_000), &[FIRST, BAD]), Decision::Suspect(FIRST));
+    assert_eq!(decide(&mut ledger, ms(6_100), &[FIRST]), Decision::Trial(vec![FIRST]));
+    let both = Decision::Trial(vec![FIRST, BAD]);
+    assert_eq!(decide(&mut ledger, ms(8_000), &[FIRST, BAD]), both, "none came with one of them");
+    for number in 2..4 {
+        let at = ms(u64::from(number) * 10_000);
+        ledger.begin_trial(&[FIRST, BAD], crash(number));
+        assert!(ledger.record_crash(at, crash(number), &[FIRST, BAD], &[FIRST, BAD]).is_empty());
+        ledger.end_trial(&[FIRST, BAD]);
+    }
+}
+
+/// Guards against parts that stay suspects for crashes that a condemned one has caused.
+#[test]
+fn a_verdict_clears_the_others_of_the_crashes_that_it_explains() {
+    let mut ledger = Ledger::new();
+    for number in 1..4 {
+        let at = ms(u64::from(number) * 5_000);
+        let suspects: &[SubjectId] = if number == 1 { &[] } else { &[BAD] };
+        ledger.begin_trial(suspects, crash(number));
+        ledger.record_crash(at, crash(number), &[FIRST, BAD], suspects);
+        ledger.end_trial(suspects);
+    }
+    assert_eq!(decide(&mut ledger, ms(16_000), &[BAD]), Decision::Condemned(BAD));
+    assert_eq!(decide(&mut ledger, ms(16_000), &[FIRST]), Decision::Free);
+    assert!(ledger.record_crash(ms(16_100), crash(3), &[FIRST], &[]).is_empty());
+    assert_eq!(decide(&mut ledger, ms(16_200), &[FIRST]), Decision::Free, "late news of it");
+    ledger.record_crash(ms(17_000), crash(9), &[FIRST], &[]);
+    assert_eq!(decide(&mut ledger, ms(17_100), &[FIRST]), Decision::Trial(vec![FIRST]));
+}
--- a/crates/filberttrail-fleet/tests/crashing_requests.rs
+++ b/crates/filberttrail-fleet/tests/crashing_requests.rs
@@ -234,7 +234,7 @@
                 false => Turn::Never,
             }
         };
-        let suspects = match self.entries[entry].decide(ms(now), &[digest], turn) {
+        let suspects = match self.entries[entry].decide(ms(now), &[digest], || true, turn) {
             Decision::Free => Vec::new(),
             Decision::Trial(suspects) => suspects,
             Decision::Suspect(_) | Decision::Condemned(_) => return,
--- a/crates/filberttrail-gateway/src/blame.rs
+++ b/crates/filberttrail-gateway/src/blame.rs
@@ -65,14 +65,15 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Decides on a request with these subjects. `turn` tells when this entry may try a suspect with
-    /// it, by the suspect and whether it is the only one.
+    /// Decides on a request with these subjects. `is_up` tells whether an upstream could take it, and
+    /// `turn` when this entry may try a suspect with it, by the suspect and whether it is the only one.
     pub fn decide(
         &self,
         subjects: &[SubjectId],
+        is_up: impl FnOnce() -> bool,
         turn: impl Fn(SubjectId, bool) -> Turn,
     ) -> Decision {
-        self.lock().decide(self.clock.now(), subjects, turn)
+        self.lock().decide(self.clock.now(), subjects, is_up, turn)
     }
 
     /// Begins the trial of suspects at an upstream.
--- a/crates/filberttrail-gateway/src/registrations.rs
+++ b/crates/filberttrail-gateway/src/registrations.rs
@@ -4,9 +4,9 @@
 use crate::hub::LAPSE_GRACE;
 use crate::state::{Departure, State};
 use crate::target::Target;
-use filberttrail_fleet::Candidate;
 use filberttrail_fleet::blame::{Report, Reserve};
 use filberttrail_fleet::upstream::{self, Upstream};
+use filberttrail_fleet::{Candidate, balance};
 use filberttrail_journal::journal::Priority;
 use serde_json::json;
 use std::collections::{BTreeMap, HashSet};
@@ -164,6 +164,14 @@
         }
     }
 
+    /// Returns whether an upstream of a service could take a request.
+    pub(crate) fn is_up(&self, service: &str) -> bool {
+        let state = self.lock();
+        state.candidates.values().any(|candidate| {
+            candidate.upstream.service == service && balance::is_usable(candidate, &state.outs, &[])
+        })
+    }
+
     /// Returns the upstreams of a service that get no suspects now.
     pub(crate) fn reserved_upstreams(&self, service: &str) -> Vec<upstream::Id> {
         let now = self.now();
--- a/crates/filberttrail-gateway/src/trial.rs
+++ b/crates/filberttrail-gateway/src/trial.rs
@@ -183,7 +183,8 @@
         (false, true) => Turn::Settled,
         _ => Turn::Now,
     };
-    match hub.blame.decide(&caller_request.subjects, turn) {
+    let is_up = || hub.is_up(&caller_request.service);
+    match hub.blame.decide(&caller_request.subjects, is_up, turn) {
         Decision::Free => Ok(Vec::new()),
         Decision::Trial(suspects) => Ok(suspects),
         Decision::Suspect(_) => Err(refuse_suspect()),
--- a/crates/filberttrail-relay/src/blame.rs
+++ b/crates/filberttrail-relay/src/blame.rs
@@ -44,12 +44,17 @@
         crashed: bool,
         may_try: impl Fn() -> bool,
     ) -> Decision {
-        self.lock().decide(self.now(), &[subject], |_, _| match (may_try(), crashed) {
-            (false, _) => Turn::Never,
-            // Most requests that a crash broke off are sound, so each may be tried again once.
-            (true, true) => Turn::Retry,
-            (true, false) => Turn::Settled,
-        })
+        self.lock().decide(
+            self.now(),
+            &[subject],
+            || true,
+            |_, _| match (may_try(), crashed) {
+                (false, _) => Turn::Never,
+                // Most requests that a crash broke off are sound, so each may be tried again once.
+                (true, true) => Turn::Retry,
+                (true, false) => Turn::Settled,
+            },
+        )
     }
 
     /// Begins the trial of suspects at an upstream.
