End the trust in a part after three crashes

What callers saw: a part of prompts turned harmful after answers had survived it.

Cause: a part that an answer survived within 10 s was no suspect, whatever came after. Ruled out: crashes that are not recognised, or not told to the others.

A trial counts single if another entry had another subject on trial at that upstream: more suspects are tried at the same time now.

--- a/crates/filberttrail-fleet/src/blame/accusation.rs
+++ b/crates/filberttrail-fleet/src/blame/accusation.rs
@@ -30,10 +30,15 @@
     /// Adds up the crashes. One outside trials counts 1, so that a subject which is on crashed
     /// upstreams by chance needs at least one more crash than its first trial.
     pub fn score(&self) -> u32 {
+        self.score_of(|_| true)
+    }
+
+    /// The same, where only the trials at the crashes for which `is_decisive` is true count as such.
+    pub fn score_of(&self, is_decisive: impl Fn(Crash) -> bool) -> u32 {
         let mut total = 0;
         let mut moment: Option<Duration> = None;
         for accusation in &self.accusations {
-            if accusation.in_trial {
+            if accusation.in_trial && is_decisive(accusation.crash) {
                 total += TRIAL_SCORE;
             } else if moment.is_none_or(|since| accusation.at >= since + MOMENT) {
                 total += 1;
@@ -77,6 +82,12 @@
         self.accusations.remove(removed.unwrap_or_default());
     }
 
+    /// Returns whether the subject was on trial at a crash.
+    pub fn has_trial(&self, crash: Crash) -> bool {
+        let mut accusations = self.accusations.iter();
+        accusations.any(|accusation| accusation.in_trial && accusation.crash == crash)
+    }
+
     /// Returns the time of the last accusation or verdict.
     pub fn last_at(&self) -> Option<Duration> {
         self.accusations.last().map(|last| last.at).max(self.lapsed_at)
--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -27,6 +27,10 @@
 /// tried without settling. Whole requests are suspects all the same, as their trial tells more: nothing
 /// else holds them.
 const TRUST: Duration = Duration::from_secs(10);
+/// Number of crashes since an answer has lived from which its parts are suspects all the same, and
+/// trials condemn them like parts that no answer has survived: what they hold, or what upstreams run,
+/// may have changed.
+const DISTRUSTED_CRASHES: usize = 3;
 /// Time for which requests with several suspected parts wait for one that has a single part of these,
 /// while an upstream is there to try it. The crash of the latter tells which part caused it.
 const SINGLE_PRECEDENCE: Duration = Duration::from_millis(2_000);
@@ -217,7 +221,10 @@
 
     /// Returns whether a subject is no suspect because an answer with it has lived recently.
     pub fn is_trusted(&self, now: Duration, subject: SubjectId) -> bool {
-        !is_whole_request(subject) && self.has_survived(now, subject)
+        let crashes = self.accused.get(&subject).map_or(0, |record| record.accusations.len());
+        !is_whole_request(subject)
+            && crashes < DISTRUSTED_CRASHES
+            && self.has_survived(now, subject)
     }
 
     fn has_survived(&self, now: Duration, subject: SubjectId) -> bool {
@@ -332,18 +339,30 @@
         if !self.accused.contains_key(&subject) && self.accused.len() >= SUBJECTS_LIMIT {
             self.remove_oldest();
         }
+        let in_trial = accusation.in_trial;
         let record = self.accused.entry(subject).or_default();
         if record.add(accusation, ACCUSATIONS_LIMIT) && news {
             record.news_until = now + NEWS_LIFETIME;
         }
         let survived = !is_whole_request(subject)
             && self.lived.get(&subject).is_some_and(|at| now < *at + LIFE_MEMORY);
+        let distrusted = in_trial && record.accusations.len() > DISTRUSTED_CRASHES;
         let needed = match record.lapsed_at {
             Some(_) => CONDEMNING_SCORE_OF_LAPSED,
-            None if survived => CONDEMNING_SCORE_OF_SURVIVED,
+            None if survived && !distrusted => CONDEMNING_SCORE_OF_SURVIVED,
             None => CONDEMNING_SCORE,
         };
-        record.score() >= needed && self.condemn(now, subject)
+        record.score() >= needed
+            && self.decisive_score(subject) >= needed
+            && self.condemn(now, subject)
+    }
+
+    /// Returns the score of a subject without what trials add that other entries had of other subjects
+    /// at the same upstream: the crash does not tell which of them caused it.
+    fn decisive_score(&self, subject: SubjectId) -> u32 {
+        let Some(record) = self.accused.get(&subject) else { return 0 };
+        let others = || self.accused.iter().filter(|(other, _)| **other != subject);
+        record.score_of(|crash| !others().any(|(_, other)| other.has_trial(crash)))
     }
 
     /// Condemns a subject, in place of the one that was not requested for the longest time if there
