Bear any stated idle timeout

Cause: the time until which the connection may be idle overflowed, and the panic ended the task of the caller's connection. Ruled out: the parsing of the value.

Change: the sum saturates.

--- a/crates/filberttrail-gateway/src/connection.rs
+++ b/crates/filberttrail-gateway/src/connection.rs
@@ -101,7 +101,8 @@
         let mut pool = self.lock();
         let idle = pool.entry(address).or_default();
         if idle.len() < IDLE_LIMIT && !idle_timeout.is_zero() && !connection.sender.is_closed() {
-            idle.push_back(Idle { connection, since: now, until: now + idle_timeout });
+            let until = now.saturating_add(idle_timeout);
+            idle.push_back(Idle { connection, since: now, until });
         }
     }
 
