--- a/crates/filberttrail-gateway/src/peers.rs
+++ b/crates/filberttrail-gateway/src/peers.rs
@@ -312,9 +312,9 @@
 
     fn receive(&self, hub: &Hub, message: Message, socket: &UdpSocket, from: SocketAddr) {
         let now = hub.now();
-        let Message { kind, entry, data_centre, loads, changed, ages, leaving, blame, .. } =
-            message;
-        let silent = message.silent;
+        let Message {
+            kind, entry, data_centre, loads, changed, ages, leaving, blame, silent, ..
+        } = message;
         let asked_at = match kind {
             Kind::Answer { asked_at, .. } => Some(Duration::from_millis(asked_at)),
             _ => None,
--- a/crates/filberttrail-gateway/src/presence.rs
+++ b/crates/filberttrail-gateway/src/presence.rs
@@ -13,6 +13,10 @@
 /// Part of the retention of registrations after which an entry that hears of nothing assumes that its
 /// own may have been removed.
 const ISOLATION_FRACTION: f64 = 0.75;
+/// Interval at which the presence of the other entries is looked at.
+pub(crate) const PRESENCE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Maximum number of silent entries that a log line names.
+const LOGGED_ENTRIES: usize = 16;
 
 impl Hub {
     /// Records a message from another entry.
@@ -83,7 +87,8 @@
         }
         drop(state);
         if changed {
-            let fields = json!({ "silent": silent, "entries": others + 1 });
+            let names: Vec<&String> = silent.iter().take(LOGGED_ENTRIES).collect();
+            let fields = json!({ "count": silent.len(), "names": names, "registered": others + 1 });
             self.journal.record(Priority::Important, "silent_entries", fields);
         }
         if counted {
@@ -95,6 +100,3 @@
         }
     }
 }
-
-/// Interval at which the presence of the other entries is looked at.
-pub(crate) const PRESENCE_INTERVAL: Duration = Duration::from_millis(1_000);
--- a/crates/filberttrail-soak/src/estate.rs
+++ b/crates/filberttrail-soak/src/estate.rs
@@ -49,9 +49,21 @@
 const KEY_OVERLAP: Duration = Duration::from_millis(1_200);
 /// Maximum duration of an upstream's misbehaviour.
 const MAX_MISBEHAVIOUR: Duration = Duration::from_millis(2_500);
+/// Interval at which another writer writes its objects.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The kinds of its objects, and their values: a lone surrogate, a number out of range, bytes that are
+/// no text, and no JSON.
+const ODD_KINDS: [&str; 3] = ["servers", "config", "filberttrail-entries"];
+const ODD_VALUES: [&[u8]; 4] = [
+    br#"{"state":"ready","zone":"\ud83d"}"#,
+    br#"{"state":"ready","slots":1e400}"#,
+    b"{\"state\":\"\xff\xfe\"}",
+    b"nonsense",
+];
 /// The wrong responses of a misbehaving upstream.
-const SCRIPTS: [Script; 9] = [
+const SCRIPTS: [Script; 10] = [
     Script::Refuse,
+    Script::EarlierRefusal(503),
     Script::Shed,
     Script::Fail,
     Script::MismatchedId,
@@ -246,6 +258,10 @@
                 self.disrupt_store(malfunction, duration).await;
                 Some(Component::Store)
             }
+            Fault::OddWriter(duration) => {
+                self.write_odd_objects(duration).await;
+                None
+            }
             Fault::Misbehave(index, times) => {
                 self.script_failures(index, times).await;
                 Some(Component::Upstream(index))
@@ -314,6 +330,23 @@
         self.store.set_mode(Mode::Healthy);
     }
 
+    /// Writes unreadable objects of the kinds that gateways read, at each heartbeat, and removes them
+    /// in the end.
+    async fn write_odd_objects(&self, duration: Duration) {
+        let until = self.now() + duration;
+        while self.now() < until {
+            for (number, value) in ODD_VALUES.iter().enumerate() {
+                for kind in ODD_KINDS {
+                    self.store.write_raw(kind, &format!("odd-{number}"), value);
+                }
+            }
+            tokio::time::sleep(HEARTBEAT.min(until.saturating_sub(self.now()))).await;
+        }
+        for number in 0..ODD_VALUES.len() {
+            ODD_KINDS.iter().for_each(|kind| self.store.remove(kind, &format!("odd-{number}")));
+        }
+    }
+
     async fn script_failures(&self, index: usize, times: usize) {
         let upstream = self.endpoints[index].lock().await.upstream.clone();
         let scripts: Vec<Script> = (0..times).filter_map(|_| fastrand::choice(SCRIPTS)).collect();
--- a/crates/filberttrail-soak/src/fault.rs
+++ b/crates/filberttrail-soak/src/fault.rs
@@ -78,6 +78,9 @@
     /// Disrupts the store for this time.
     #[display("the store {_0} for {_1:?}")]
     Store(Malfunction, Duration),
+    /// Another writer keeps unreadable objects in the store for this time. It disturbs nothing.
+    #[display("another writer keeps unreadable objects for {_0:?}")]
+    OddWriter(Duration),
     /// Makes an upstream respond wrongly to this number of its next requests.
     #[display("upstream {_0} answers badly {_1} times")]
     Misbehave(usize, usize),
--- a/crates/filberttrail-soak/src/plan.rs
+++ b/crates/filberttrail-soak/src/plan.rs
@@ -122,6 +122,7 @@
                 0 if duration.as_millis() % 2 == 1 => Malfunction::Silent,
                 0 => Malfunction::Unavailable,
                 1 => Malfunction::LosesResponses,
+                _ if duration.as_millis() % 2 == 1 => return Fault::OddWriter(duration),
                 _ => Malfunction::DiscardsHistory,
             };
             Fault::Store(malfunction, duration)
--- a/crates/filberttrail-soak/tests/plan.rs
+++ b/crates/filberttrail-soak/tests/plan.rs
@@ -64,6 +64,7 @@
         "Leave",
         "Link",
         "Misbehave",
+        "OddWriter",
         "Out",
         "Reload",
         "ReplaceKey",
