Let reminders of a crash not hold back its suspects

Requests whose suspected parts never come alone wait 2 s for one that has a single part. What other entries repeat of the crash, each second, began that wait anew, so that they were not tried until the suspicion lapsed after 15 s, and then crashed another upstream.

Ruled out by its log: refusals by a verdict (they come back in some 2 s, and on_trial is empty).

Change: only a new accusation begins the wait anew.

--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -335,14 +335,16 @@
             self.cleared.entry(subject).or_insert((*at, now));
             return false;
         }
-        self.held_back.remove(&subject);
         if !self.accused.contains_key(&subject) && self.accused.len() >= SUBJECTS_LIMIT {
             self.remove_oldest();
         }
         let in_trial = accusation.in_trial;
         let record = self.accused.entry(subject).or_default();
-        if record.add(accusation, ACCUSATIONS_LIMIT) && news {
-            record.news_until = now + NEWS_LIFETIME;
+        if record.add(accusation, ACCUSATIONS_LIMIT) {
+            self.held_back.remove(&subject);
+            if news {
+                record.news_until = now + NEWS_LIFETIME;
+            }
         }
         let survived = !is_whole_request(subject)
             && self.lived.get(&subject).is_some_and(|at| now < *at + LIFE_MEMORY);
--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -634,6 +634,21 @@
     }
 }
 
+/// Guards against suspects that are never tried: what others repeat of a crash began the wait anew.
+#[test]
+fn reminders_of_a_crash_do_not_hold_back_a_request_with_several_suspects() {
+    let (mut ledger, mut other) = (Ledger::new(), Ledger::new());
+    ledger.record_crash(ms(0), crash(1), &[FIRST, BAD], &[]);
+    other.receive(ms(0), &ledger.report(ms(0)), false);
+    assert_eq!(decide(&mut ledger, ms(1_000), &[FIRST, BAD]), Decision::Suspect(FIRST));
+    for second in 1..=3 {
+        let at = ms(1_000 * second);
+        ledger.receive(at, &other.report(at), false);
+    }
+    let both = Decision::Trial(vec![FIRST, BAD]);
+    assert_eq!(decide(&mut ledger, ms(3_000), &[FIRST, BAD]), both);
+}
+
 /// Guards against parts that stay suspects for crashes that a condemned one has caused.
 #[test]
 fn a_verdict_clears_the_others_of_the_crashes_that_it_explains() {
