--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -634,6 +634,23 @@
     }
 }
 
+/// Guards against a wait that is over when the upstreams return: all suspects were tried by the first
+/// request then.
+#[test]
+fn the_wait_for_a_request_with_a_single_suspect_begins_when_upstreams_return() {
+    let mut ledger = Ledger::new();
+    ledger.record_crash(ms(0), crash(1), &[FIRST, BAD], &[]);
+    // A crash is known before the registrations of the group tell of it.
+    let held_back = Decision::Suspect(FIRST);
+    assert_eq!(decide(&mut ledger, ms(100), &[FIRST, BAD]), held_back);
+    let down = ledger.decide(ms(1_000), &[FIRST, BAD], || false, |_, _| Turn::Now);
+    assert_eq!(down, held_back);
+    assert_eq!(decide(&mut ledger, ms(5_600), &[FIRST, BAD]), held_back);
+    assert_eq!(decide(&mut ledger, ms(7_500), &[FIRST, BAD]), held_back);
+    let both = Decision::Trial(vec![FIRST, BAD]);
+    assert_eq!(decide(&mut ledger, ms(7_700), &[FIRST, BAD]), both);
+}
+
 /// Guards against suspects that are never tried: what others repeat of a crash began the wait anew.
 #[test]
 fn reminders_of_a_crash_do_not_hold_back_a_request_with_several_suspects() {
