Wait longer for a request with a single suspect

In the broken ones the first crash after the group was back came 2.0 s later, by a request with both suspects, as no request with the first part alone had been tried until then; why is not traced. The wait is 6 s now, well below the 15 s of a suspicion.

--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -33,7 +33,7 @@
 const DISTRUSTED_CRASHES: usize = 3;
 /// Time for which requests with several suspected parts wait for one that has a single part of these,
 /// while an upstream is there to try it. The crash of the latter tells which part caused it.
-const SINGLE_PRECEDENCE: Duration = Duration::from_millis(2_000);
+const SINGLE_PRECEDENCE: Duration = Duration::from_millis(6_000);
 /// Time for which it is remembered that an answer has lived.
 const LIFE_MEMORY: Duration = Duration::from_secs(60);
 /// Time for which a subject is a suspect because of a single crash. It is longer than a group takes
