--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -180,7 +180,7 @@
         }
         if !is_up() {
             // The time does not run while nothing could be tried.
-            parts.iter().for_each(|part| drop(self.held_back.remove(part)));
+            self.held_back.retain(|part, _| !parts.contains(part));
             return false;
         }
         let held_back = parts.iter().map(|part| *self.held_back.entry(*part).or_insert(now));
