Let the wait for a single suspect not pass while one is being tried

A trial of the sound part had gone to the group that stalled; its outcome was open for 6 s, in which nobody may try that part, and the group was back after 5.6 s. The wait had begun 70 ms after the crash, was 7.4 s old when the open trial lapsed, and the next request had both suspects.

Ruled out by the log: upstreams that are down (none refused for that), and other turns of the entries.

Change: the wait begins anew while a suspect is being tried, here or elsewhere, or the outcome of that is open. It is 2 s again.

--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -33,7 +33,7 @@
 const DISTRUSTED_CRASHES: usize = 3;
 /// Time for which requests with several suspected parts wait for one that has a single part of these,
 /// while an upstream is there to try it. The crash of the latter tells which part caused it.
-const SINGLE_PRECEDENCE: Duration = Duration::from_millis(6_000);
+const SINGLE_PRECEDENCE: Duration = Duration::from_millis(2_000);
 /// Time for which it is remembered that an answer has lived.
 const LIFE_MEMORY: Duration = Duration::from_secs(60);
 /// Time for which a subject is a suspect because of a single crash. It is longer than a group takes
@@ -142,10 +142,7 @@
                 self.has_survived(now, subject)
                     || self.accused[&subject].last_at().is_none_or(|at| now >= at + SETTLING)
             };
-            let tried = self.tried.get(&subject);
-            !self.in_trial.contains_key(&subject)
-                && !self.failures.open_trials().any(|open| open == subject)
-                && tried.is_none_or(|(at, _)| now >= *at + TRIED_LIFETIME)
+            !self.is_being_tried(now, subject)
                 && match turn(subject, suspects.len() == 1) {
                     Turn::Now => true,
                     Turn::Retry => self.accused[&subject].accusations.len() == 1,
@@ -153,8 +150,12 @@
                     Turn::Never => false,
                 }
         };
-        if let Some(subject) = suspects.iter().find(|subject| !may_try(**subject)) {
-            return Decision::Suspect(*subject);
+        if let Some(subject) = suspects.iter().find(|subject| !may_try(**subject)).copied() {
+            if self.is_being_tried(now, subject) {
+                // Meanwhile, requests with a single suspect can't come first.
+                self.held_back.retain(|part, _| !suspects.contains(part));
+            }
+            return Decision::Suspect(subject);
         }
         if suspects.is_empty() {
             return Decision::Free;
@@ -165,6 +166,14 @@
         Decision::Trial(suspects)
     }
 
+    /// Returns whether a trial of a suspect goes on, here or at another entry, or its outcome is open.
+    fn is_being_tried(&self, now: Duration, subject: SubjectId) -> bool {
+        let tried = self.tried.get(&subject);
+        self.in_trial.contains_key(&subject)
+            || self.failures.open_trials().any(|open| open == subject)
+            || tried.is_some_and(|(at, _)| now < *at + TRIED_LIFETIME)
+    }
+
     /// Returns whether suspects may be tried by one request: parts only after requests with one of them
     /// had the time to come first.
     fn may_try_together(
@@ -179,7 +188,6 @@
             return true;
         }
         if !is_up() {
-            // The time does not run while nothing could be tried.
             self.held_back.retain(|part, _| !parts.contains(part));
             return false;
         }
