--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -14,7 +14,6 @@
 use crate::unreadable::Unreadable;
 use crate::{Interface, Settings};
 use filberttrail_fleet::admission::{self, Admission, Decision};
-use filberttrail_fleet::snapshot::Entry;
 use filberttrail_fleet::snapshot::{Progress, Revision};
 use filberttrail_fleet::subset::Share;
 use filberttrail_fleet::upstream::Upstream;
@@ -25,7 +24,7 @@
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::revision;
 use serde_json::json;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -397,24 +396,6 @@
         self.lock().candidates.values().map(|candidate| candidate.upstream.clone()).collect()
     }
 
-    /// Sets the entries that share the budgets.
-    pub fn set_entries(&self, entries: &BTreeMap<String, Entry>) {
-        let hashes: Vec<u64> = entries.keys().map(|name| stable_hash(name.as_bytes())).collect();
-        let located =
-            entries.iter().map(|(name, entry)| (name.as_str(), entry.data_centre.as_str()));
-        let now = self.now();
-        let mut state = self.lock();
-        state.presence.set_entries(now, located);
-        state.entries = Some(hashes.len().max(1) as u32);
-        state.entry_hashes = hashes;
-        self.update_subsets(&mut state);
-    }
-
-    /// Returns the number of entries that share the budgets, as far as it is known.
-    pub fn count_entries(&self) -> usize {
-        self.lock().entry_hashes.len()
-    }
-
     /// Records that the condemned subjects are known.
     pub fn note_verdicts_known(&self) {
         self.lock().verdicts_known = true;
--- a/crates/filberttrail-gateway/src/presence.rs
+++ b/crates/filberttrail-gateway/src/presence.rs
@@ -4,10 +4,12 @@
 use crate::hub::ASSUMED_ENTRIES;
 use filberttrail_fleet::blame::{SubjectId, TRIAL_ENTRIES};
 use filberttrail_fleet::presence::{Hearing, Silence};
+use filberttrail_fleet::snapshot::Entry;
 use filberttrail_fleet::subset;
 use filberttrail_journal::journal::Priority;
 use filberttrail_kernel::digest::stable_hash;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Part of the retention of registrations after which an entry that hears of nothing assumes that its
@@ -19,6 +21,24 @@
 const LOGGED_ENTRIES: usize = 16;
 
 impl Hub {
+    /// Sets the entries that share the budgets.
+    pub fn set_entries(&self, entries: &BTreeMap<String, Entry>) {
+        let hashes: Vec<u64> = entries.keys().map(|name| stable_hash(name.as_bytes())).collect();
+        let located =
+            entries.iter().map(|(name, entry)| (name.as_str(), entry.data_centre.as_str()));
+        let now = self.now();
+        let mut state = self.lock();
+        state.presence.set_entries(now, located);
+        state.entries = Some(hashes.len().max(1) as u32);
+        state.entry_hashes = hashes;
+        self.update_subsets(&mut state);
+    }
+
+    /// Returns the number of entries that share the budgets, as far as it is known.
+    pub fn count_entries(&self) -> usize {
+        self.lock().entry_hashes.len()
+    }
+
     /// Records a message from another entry.
     pub(crate) fn record_message(&self, entry: &str) {
         let now = self.now();
