Let a part that is no longer trusted settle before it is tried again

A part with three crashes since an answer survived it is no longer trusted, but its survival still let a request with it be sent at once: several reached upstreams before the first outcome was known.

The new test fails without the change: a_part_that_is_no_longer_trusted_settles_ before_it_is_tried_again, left: Trial([666]), right: Suspect(666).

--- a/crates/filberttrail-fleet/src/blame/ledger.rs
+++ b/crates/filberttrail-fleet/src/blame/ledger.rs
@@ -139,7 +139,7 @@
             subjects.iter().copied().filter(|subject| self.is_suspect(now, *subject)).collect();
         let may_try = |subject: SubjectId| {
             let settled = || {
-                self.has_survived(now, subject)
+                self.has_survived(now, subject) && !self.is_distrusted(subject)
                     || self.accused[&subject].last_at().is_none_or(|at| now >= at + SETTLING)
             };
             !self.is_being_tried(now, subject)
@@ -231,12 +231,18 @@
 
     /// Returns whether a subject is no suspect because an answer with it has lived recently.
     pub fn is_trusted(&self, now: Duration, subject: SubjectId) -> bool {
-        let crashes = self.accused.get(&subject).map_or(0, |record| record.accusations.len());
         !is_whole_request(subject)
-            && crashes < DISTRUSTED_CRASHES
+            && !self.is_distrusted(subject)
             && self.has_survived(now, subject)
     }
 
+    /// Returns whether a subject has been on so many crashes since an answer with it lived that the
+    /// answer no longer counts.
+    fn is_distrusted(&self, subject: SubjectId) -> bool {
+        let record = self.accused.get(&subject);
+        record.is_some_and(|record| record.accusations.len() >= DISTRUSTED_CRASHES)
+    }
+
     fn has_survived(&self, now: Duration, subject: SubjectId) -> bool {
         self.lived.get(&subject).is_some_and(|at| now < *at + TRUST)
     }
--- a/crates/filberttrail-fleet/tests/blame.rs
+++ b/crates/filberttrail-fleet/tests/blame.rs
@@ -685,6 +685,21 @@
     assert_eq!(decide(&mut ledger, ms(3_000), &[FIRST, BAD]), both);
 }
 
+/// Guards against requests that are sent again at once although their part has crashed upstreams since
+/// an answer survived it: several reached upstreams before the outcome of the first was known.
+#[test]
+fn a_part_that_is_no_longer_trusted_settles_before_it_is_tried_again() {
+    let mut ledger = Ledger::new();
+    ledger.record_lived(ms(0), &[BAD]);
+    for number in 1..=3 {
+        ledger.record_crash(ms(500 * u64::from(number)), crash(number), &[BAD], &[]);
+    }
+    let settled =
+        |ledger: &mut Ledger, at| ledger.decide(ms(at), &[BAD], || true, |_, _| Turn::Settled);
+    assert_eq!(settled(&mut ledger, 1_600), Decision::Suspect(BAD));
+    assert_eq!(settled(&mut ledger, 2_500), Decision::Trial(vec![BAD]));
+}
+
 /// Guards against parts that stay suspects for crashes that a condemned one has caused.
 #[test]
 fn a_verdict_clears_the_others_of_the_crashes_that_it_explains() {
