Show that crowds of hostile clients exceed a gateway's memory

Ten tests start a gateway process with 64 MB, 400 descriptors and bodies of at most 1 MiB in its settings, and let 120 clients (420 at ports that are not for callers) send large, chunked, too large and unread bodies. They check that the process lives, that its peak memory and what the kernel holds for it stay within the settings, and that an ordinary request and stream are answered afterwards. Crowd and bounds are fixed here, before the product changes.

--- a/crates/filberttrail-test-support/src/lib.rs
+++ b/crates/filberttrail-test-support/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod process;
 pub mod property;
+pub mod usage;
 pub mod walk;
--- a/crates/filberttrail-test-support/src/process.rs
+++ b/crates/filberttrail-test-support/src/process.rs
@@ -39,6 +39,11 @@
         Ok(Self { child, lines: Vec::new() })
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the exit status of the process, or `None` while it runs.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
