--- a/crates/filberttrail-declare/src/diff.rs
+++ b/crates/filberttrail-declare/src/diff.rs
@@ -20,9 +20,16 @@
 
 /// Returns the changes between two sets of declarations, sorted by path.
 pub fn diff(before: &Declarations, after: &Declarations) -> Vec<Change> {
-    let mut old = flatten(before);
+    compare(flatten(before), flatten(after))
+}
+
+/// Returns the changes between two sets of items by path, sorted by path.
+pub fn compare(
+    mut old: BTreeMap<String, serde_json::Value>,
+    new: BTreeMap<String, serde_json::Value>,
+) -> Vec<Change> {
     let mut changes = Vec::new();
-    for (place, after) in flatten(after) {
+    for (place, after) in new {
         let before = old.remove(&place);
         if before.as_ref() == Some(&after) {
             continue;
