Add the command that checks a platform configuration

Missing: a way to run the checks of platform/src/check before a configuration is written to the store.

Commands get a field `exit_codes`, as the help text stated the same codes for all of them. The test of the examples starts an object store for the new command's example.

--- a/crates/filberttrail-cli/src/command.rs
+++ b/crates/filberttrail-cli/src/command.rs
@@ -4,6 +4,10 @@
 use filberttrail_kernel::plugin::{Plugin, inventory};
 use filberttrail_kernel::{Error, Result};
 
+/// The exit codes of a command that does not state its own.
+const EXIT_CODES: &str = "0 success, 1 failure or missed target, 2 usage error, \
+    3 conflicting change by another operator, 4 platform unavailable";
+
 /// A command of the program. Commands register themselves through `inventory::submit!`.
 pub struct Command {
     /// One or more words, such as `preset use`.
@@ -16,6 +20,8 @@
     pub flags: &'static [&'static str],
     /// Example calls, shown by `--help` and run by `tests/examples.rs`.
     pub examples: &'static [Example],
+    /// The exit codes as `--help` shows them; `None` for those that most commands have.
+    pub exit_codes: Option<&'static str>,
     /// Executes the command and returns the exit code of the process.
     pub run: fn(&mut Arguments) -> Result<u8>,
 }
@@ -53,8 +59,8 @@
         for example in self.examples {
             text.push_str(&format!("  {}\n  > filberttrail {}\n", example.about, example.line));
         }
-        text.push_str("\nExit codes: 0 success, 1 failure or missed target, 2 usage error, ");
-        text.push_str("3 conflicting change by another operator, 4 platform unavailable\n");
+        let exit_codes = self.exit_codes.unwrap_or(EXIT_CODES);
+        text.push_str(&format!("\nExit codes: {exit_codes}\n"));
         text
     }
 }
--- a/crates/filberttrail-cli/src/commands/estate/apply.rs
+++ b/crates/filberttrail-cli/src/commands/estate/apply.rs
@@ -32,6 +32,7 @@
                 about: "Changes nothing when it is run again",
             },
         ],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/estate/check.rs
+++ b/crates/filberttrail-cli/src/commands/estate/check.rs
@@ -17,6 +17,7 @@
             Example { line: "check samples/estate", about: "Checks every file of a directory" },
             Example { line: "check samples/estate --json", about: "Prints errors as JSON" },
         ],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/estate/diff.rs
+++ b/crates/filberttrail-cli/src/commands/estate/diff.rs
@@ -20,6 +20,7 @@
             line: "diff samples/estate --platform 127.0.0.1:7000",
             about: "Compares a directory with the declarations in force",
         }],
+        exit_codes: None,
         run,
     }
 }
@@ -51,11 +52,18 @@
         println!("{}", serde_json::to_string(changes).unwrap_or_default());
         return;
     }
+    println!("{}", format(changes));
+}
+
+/// Formats changes as text, with their number in the last line.
+pub fn format(changes: &[Change]) -> String {
+    let mut text = String::new();
     for change in changes {
-        println!("{:<8} {}", change.what, change.place);
+        text.push_str(&format!("{:<8} {}\n", change.what, change.place));
         if let (Some(before), Some(after)) = (&change.before, &change.after) {
-            println!("         - {before}\n         + {after}");
+            text.push_str(&format!("         - {before}\n         + {after}\n"));
         }
     }
-    println!("{} changes", changes.len());
+    text.push_str(&format!("{} changes", changes.len()));
+    text
 }
--- a/crates/filberttrail-cli/src/commands/inspect/explain.rs
+++ b/crates/filberttrail-cli/src/commands/inspect/explain.rs
@@ -19,6 +19,7 @@
             line: "explain 0a1b2c3d-7 --admin 127.0.0.1:7001",
             about: "Looks a request up at one entry",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/inspect/status.rs
+++ b/crates/filberttrail-cli/src/commands/inspect/status.rs
@@ -19,6 +19,7 @@
             line: "status --platform 127.0.0.1:7000",
             about: "Shows the status of an estate",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/capacity.rs
+++ b/crates/filberttrail-cli/src/commands/measure/capacity.rs
@@ -15,6 +15,7 @@
         about: "Measures state, messages and processor time at three sizes each",
         flags: &["--json   print JSON"],
         examples: &[Example { line: "bench capacity --json", about: "Prints all results as JSON" }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/control.rs
+++ b/crates/filberttrail-cli/src/commands/measure/control.rs
@@ -15,6 +15,7 @@
                 exit code 1 if a target is missed",
         flags: &["--seed N      the seed of the popularity (1)", "--json        print JSON"],
         examples: &[Example { line: "bench control --json", about: "Measures all sizes" }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/departure.rs
+++ b/crates/filberttrail-cli/src/commands/measure/departure.rs
@@ -22,6 +22,7 @@
             line: "bench departure --json",
             about: "Prints all results as JSON",
         }],
+        exit_codes: None,
         run: |arguments: &mut Arguments| -> Result<u8> {
             let seed = arguments.value_or("--seed", 1)?;
             let json = arguments.flag("--json");
--- a/crates/filberttrail-cli/src/commands/measure/failures.rs
+++ b/crates/filberttrail-cli/src/commands/measure/failures.rs
@@ -23,6 +23,7 @@
             line: "bench failures --only generations --log-level off",
             about: "Checks one promise",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/placement.rs
+++ b/crates/filberttrail-cli/src/commands/measure/placement.rs
@@ -26,6 +26,7 @@
             line: "bench placement --ranks 16 --experts 16 --json",
             about: "Compares a small group",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/record.rs
+++ b/crates/filberttrail-cli/src/commands/measure/record.rs
@@ -16,6 +16,7 @@
             line: "bench record target/traces",
             about: "Records traces to compare with the committed ones",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/relay.rs
+++ b/crates/filberttrail-cli/src/commands/measure/relay.rs
@@ -19,6 +19,7 @@
             line: "bench relay --json",
             about: "Prints both measurements as JSON",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/routing.rs
+++ b/crates/filberttrail-cli/src/commands/measure/routing.rs
@@ -18,6 +18,7 @@
             "--svg FILE draw the result as SVG",
         ],
         examples: &[Example { line: "bench routing --json", about: "Compares the policies" }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/measure/scale.rs
+++ b/crates/filberttrail-cli/src/commands/measure/scale.rs
@@ -19,6 +19,7 @@
             "--svg FILE draw the result as SVG",
         ],
         examples: &[Example { line: "bench scale --json", about: "Prints all results as JSON" }],
+        exit_codes: None,
         run: |arguments: &mut Arguments| -> Result<u8> {
             let seed = arguments.value_or("--seed", 1)?;
             let json = arguments.flag("--json");
--- a/crates/filberttrail-cli/src/commands/mod.rs
+++ b/crates/filberttrail-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, grouped by topic.
 
+pub mod configuration;
 pub mod estate;
 pub mod inspect;
 pub mod measure;
--- a/crates/filberttrail-cli/src/commands/operate/data_centre.rs
+++ b/crates/filberttrail-cli/src/commands/operate/data_centre.rs
@@ -14,6 +14,7 @@
             line: "data-centre out harbour --platform 127.0.0.1:7000",
             about: "Takes one data centre out of service",
         }],
+        exit_codes: None,
         run: |arguments| {
             change::run(arguments, "NAME", |operation, name| {
                 operation.data_centres_out.insert(name);
@@ -32,6 +33,7 @@
             line: "data-centre in harbour --platform 127.0.0.1:7000",
             about: "Returns one data centre to service",
         }],
+        exit_codes: None,
         run: |arguments| {
             change::run(arguments, "NAME", |operation, name| {
                 operation.data_centres_out.remove(&name);
--- a/crates/filberttrail-cli/src/commands/operate/preset.rs
+++ b/crates/filberttrail-cli/src/commands/operate/preset.rs
@@ -14,6 +14,7 @@
             line: "preset use peak --platform 127.0.0.1:7000",
             about: "Selects the preset for peak load",
         }],
+        exit_codes: None,
         run: |arguments| change::run(arguments, "NAME", |operation, name| operation.preset = name),
     }
 }
--- a/crates/filberttrail-cli/src/commands/operate/upstream.rs
+++ b/crates/filberttrail-cli/src/commands/operate/upstream.rs
@@ -14,6 +14,7 @@
             line: "upstream out engine-03 --platform 127.0.0.1:7000",
             about: "Takes one upstream out of service",
         }],
+        exit_codes: None,
         run: |arguments| {
             change::run(arguments, "NAME", |operation, name| {
                 operation.upstreams_out.insert(name);
@@ -32,6 +33,7 @@
             line: "upstream in engine-03 --platform 127.0.0.1:7000",
             about: "Returns one upstream to service",
         }],
+        exit_codes: None,
         run: |arguments| {
             change::run(arguments, "NAME", |operation, name| {
                 operation.upstreams_out.remove(&name);
--- a/crates/filberttrail-cli/src/commands/run/dev.rs
+++ b/crates/filberttrail-cli/src/commands/run/dev.rs
@@ -27,6 +27,7 @@
             line: "dev --for 1s --log-level warn",
             about: "Runs an estate for one second",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/run/entry.rs
+++ b/crates/filberttrail-cli/src/commands/run/entry.rs
@@ -44,6 +44,7 @@
                    --admin 127.0.0.1:0 --platform 127.0.0.1:7000 --secret 0123456789abcdef",
             about: "Runs an entry until SIGINT or SIGTERM",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/run/gateway.rs
+++ b/crates/filberttrail-cli/src/commands/run/gateway.rs
@@ -23,6 +23,7 @@
             line: "gateway --settings samples/gateway.json --check",
             about: "Checks a settings file",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/run/rebalancer.rs
+++ b/crates/filberttrail-cli/src/commands/run/rebalancer.rs
@@ -22,6 +22,7 @@
             line: "rebalancer --settings samples/rebalancer.json --check",
             about: "Checks a settings file",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/run/sidecar.rs
+++ b/crates/filberttrail-cli/src/commands/run/sidecar.rs
@@ -34,6 +34,7 @@
                    --upstream 127.0.0.1:7100 --platform 127.0.0.1:7000 --secret 0123456789abcdef",
             about: "Runs a sidecar until SIGINT or SIGTERM",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-cli/src/commands/run/stand_in.rs
+++ b/crates/filberttrail-cli/src/commands/run/stand_in.rs
@@ -30,6 +30,7 @@
             line: "stand-in platform --listen 127.0.0.1:0",
             about: "Runs it until SIGINT or SIGTERM",
         }],
+        exit_codes: None,
         run: |arguments| {
             let defaults = Rates::default();
             let rates = Rates {
@@ -56,6 +57,7 @@
             line: "stand-in engine --listen 127.0.0.1:0 --step 20ms",
             about: "Runs it until SIGINT or SIGTERM",
         }],
+        exit_codes: None,
         run: |arguments| {
             let defaults = engine::Settings::default();
             let settings = engine::Settings {
@@ -79,6 +81,7 @@
             line: "stand-in service --listen 127.0.0.1:0",
             about: "Runs it until SIGINT or SIGTERM",
         }],
+        exit_codes: None,
         run: |arguments| {
             run(arguments, move |listener, stop| Service::new().run(listener, stop))
         },
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -1,10 +1,12 @@
 //! Tests of the command line: the examples of every command, the help texts, and concurrent changes
 //! by two operators.
 //!
-//! The examples run as they are written, except that the platform's address `127.0.0.1:7000` is
-//! replaced by the address of the stand-in platform that the test starts.
+//! The examples run as they are written, except that the platform's address `127.0.0.1:7000` and the
+//! object store's address `127.0.0.1:7100` are replaced by the addresses of the stand-ins that the test
+//! starts.
 
 use filberttrail_cli::command;
+use filberttrail_platform_stand_in::Store;
 use filberttrail_test_support::process::Process;
 
 // Each call of `Process::start` below waits for 1 line of output. The platform and the other
@@ -35,11 +37,17 @@
 fn every_example_exits_with_the_expected_code() {
     let platform = Process::start(PROGRAM, &["stand-in", "platform"], 1);
     let address = platform.address("listens").to_string();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let store = runtime.block_on(Store::start());
+    let in_force = std::fs::read("samples/configuration-in-force.json").expect("the sample");
+    store.write("config", "main", serde_json::from_slice(&in_force).expect("JSON"));
+    let store_address = store.address.to_string();
     let mut example_count = 0;
     for command in command::list_all() {
         assert!(!command.examples.is_empty(), "'{}' has no example", command.name);
         for example in command.examples {
             let line = example.line.replace("127.0.0.1:7000", &address);
+            let line = line.replace("127.0.0.1:7100", &store_address);
             let code = match command.name {
                 name if DAEMONS.contains(&name) => start_and_stop(&line),
                 _ => run(&line),
