Add a memory budget, and the choice of the body that gives way

Cause: the sizes of bodies are limited one by one, but not their sum, so many legal bodies at once exceed the memory of a process.

Change: `memory::Budget` divides the memory into parts. A `Buffer` collects a body into one allocation that grows with it, and is charged by its capacity. When a part is full, `crowd::Ledger` chooses the body with the most byte-seconds of the team that holds the most. The choice does no I/O and gets the time. Bodies over 64 KiB can use three quarters of a part, so that small ones find room beside large ones whose requests run and can't be evicted.

Ruled out: a semaphore of bytes (a new body would wait for those that stall); eviction by age alone (a slow small body would go before a large new one); one buffer per chunk (a chunk of one byte keeps its whole read buffer).

Nothing uses the budget yet.

--- a/crates/filberttrail-web/src/body.rs
+++ b/crates/filberttrail-web/src/body.rs
@@ -1,10 +1,12 @@
 //! HTTP bodies: complete, or streamed. A stream that fails aborts the connection.
 
+use crate::memory::Hold;
 use bytes::Bytes;
 use futures::Stream;
 use hyper::body::{Frame, SizeHint};
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
 
@@ -12,6 +14,9 @@
 pub enum Body {
     /// A complete body; `None` if it is empty or has been sent.
     Complete(Option<Bytes>),
+    /// A complete body that is charged to a memory budget. The server closes the connection if the body
+    /// gives way to others before the peer has taken it.
+    Held(Option<Bytes>, Arc<Hold>),
     /// Chunks from a channel; `Err` aborts the connection, so that the peer detects the truncation.
     Channel(mpsc::Receiver<Result<Bytes, Truncated>>),
     /// Chunks from a stream that is polled only as fast as the peer reads.
@@ -60,7 +65,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match &mut *self {
-            Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Complete(bytes) | Self::Held(bytes, _) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             Self::Stream(chunks) => chunks
                 .as_mut()
                 .poll_next(context)
@@ -72,12 +79,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(None))
+        matches!(self, Self::Complete(None) | Self::Held(None, _))
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(bytes) => {
+            Self::Complete(bytes) | Self::Held(bytes, _) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Channel(_) | Self::Stream(_) => SizeHint::default(),
--- a/crates/filberttrail-web/src/lib.rs
+++ b/crates/filberttrail-web/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod body;
 pub mod client;
 pub mod crash;
+pub mod crowd;
+pub mod memory;
 pub mod problem;
 pub mod server;
 pub mod write_timeout;
