Keep what a gateway holds for hostile clients within its memory

Cause: `read_body` limited each body but not their sum, kept each chunk with its read buffer, and read bodies that were announced as too large. Responses for callers that don't read were not counted once they were complete. Unread bytes in the kernel and the internal ports had no bounds of their own.

Change: request bodies, responses until they are taken, and connections are charged to the budget. An announced length over the limit is refused unread. At the limit of connections the one that has been idle or in a head longest is closed. The listener has a bounded receive buffer; internal ports have their own limits of connections.

--- a/crates/filberttrail-cli/src/commands/run/entry.rs
+++ b/crates/filberttrail-cli/src/commands/run/entry.rs
@@ -82,6 +82,7 @@
             headers: arguments.value_or("--headers", defaults.headers)?,
             header_wait: arguments.duration_or("--header-wait", defaults.header_wait)?,
             slow_wait: arguments.duration_or("--slow-wait", defaults.slow_wait)?,
+            ..defaults
         },
         body_bytes: arguments.value_or("--body-bytes", 1 << 20)?,
         body_wait: arguments.duration_or("--body-wait", Duration::from_secs(10))?,
--- a/crates/filberttrail-entry/src/http.rs
+++ b/crates/filberttrail-entry/src/http.rs
@@ -5,6 +5,7 @@
 use crate::{dispatch, response};
 use filberttrail_declare::View;
 use filberttrail_declare::model::Team;
+use filberttrail_web::memory::Part;
 use filberttrail_web::server::{json, read_body};
 use filberttrail_web::{Problem, Request, Response};
 use hyper::header::{AUTHORIZATION, HeaderMap, WWW_AUTHENTICATE};
@@ -52,12 +53,19 @@
     let path = request.uri().path().to_string();
     let call = match (request.method().clone(), path.as_str()) {
         (Method::GET, "/v1/models") => return Ok(list_models(&view, &team)),
-        (Method::POST, "/v1/completions" | "/v1/chat/completions") => {
-            call::check_completion(&view, &team, read_request(context, request, id).await?)?
-        }
+        (Method::POST, "/v1/completions" | "/v1/chat/completions") => call::check_completion(
+            &view,
+            &team,
+            read_request(context, request, id, &team.name).await?,
+        )?,
         (_, path) if path.starts_with("/services/") => {
             let name = path.split('/').nth(2).unwrap_or_default();
-            call::check_service_call(&view, &team, name, read_request(context, request, id).await?)?
+            call::check_service_call(
+                &view,
+                &team,
+                name,
+                read_request(context, request, id, &team.name).await?,
+            )?
         }
         (_, "/v1/models" | "/v1/completions" | "/v1/chat/completions") => {
             let detail = "use GET for models and POST for completions";
@@ -76,10 +84,13 @@
     context: &Context,
     request: Request,
     id: &str,
+    team: &str,
 ) -> Result<Incoming, Box<Problem>> {
     let settings = &context.settings;
     let (head, body) = request.into_parts();
-    let body = read_body(body, settings.body_bytes, settings.body_wait).await?;
+    let (limit, timeout) = (settings.body_bytes, settings.body_wait);
+    let body = read_body(body, limit, timeout, &settings.limits.memory, Part::Requests, team);
+    let body = body.await?;
     let id = id.to_string();
     Ok(Incoming { id, method: head.method, uri: head.uri, headers: head.headers, body })
 }
--- a/crates/filberttrail-gateway/src/call.rs
+++ b/crates/filberttrail-gateway/src/call.rs
@@ -5,6 +5,7 @@
 use crate::caller_request::CallerRequest;
 use crate::exchange::{self, Failed, UpstreamResponse};
 use crate::failure::Failure;
+use crate::memory::read_response;
 use crate::outcome::Outcome;
 use crate::permit::Permit;
 use crate::relay::{Relay, Source};
@@ -319,7 +320,8 @@
     }
     trial.note_response();
     let UpstreamResponse { head, body, connection } = response;
-    let body = match hub.memory.read(body).await {
+    let team = caller_request.team.as_deref().unwrap_or_default();
+    let body = match read_response(&hub.memory, body, team).await {
         Ok(body) => body,
         Err(failed) => return Err(Failure { failed, trial: Some(trial) }),
     };
@@ -346,7 +348,7 @@
     hub.record_outcome(&permit.id, if failed { Outcome::Failure } else { Outcome::Success });
     hub.metrics.record_attempt("answered");
     record_response(hub, caller_request, head.status.as_u16(), &permit.id);
-    Ok(Response::from_parts(response_head(hub, &head, false), Body::new(body)))
+    Ok(Response::from_parts(response_head(hub, &head, false), body))
 }
 
 /// Records the response of an upstream in the metrics and the journal.
--- a/crates/filberttrail-gateway/src/caller_request.rs
+++ b/crates/filberttrail-gateway/src/caller_request.rs
@@ -8,6 +8,7 @@
 use filberttrail_fleet::blame::{SubjectId, whole_request};
 use filberttrail_fleet::event::SequenceNumber;
 use filberttrail_kernel::digest::StableHasher;
+use filberttrail_web::memory::Part;
 use filberttrail_web::server::read_body;
 use filberttrail_web::{Problem, Request};
 use hyper::header::{self, HeaderMap, HeaderName};
@@ -126,7 +127,9 @@
         let team = team.map(|team| team.name.clone());
         let limit = table.configuration().body_bytes;
         drop(table);
-        let body = read_body(body, limit, timeout).await.map_err(fail)?;
+        let owner = team.as_deref().unwrap_or_default();
+        let body = read_body(body, limit, timeout, &hub.memory, Part::Requests, owner);
+        let body = body.await.map_err(fail)?;
         // Counts the request for the retry budget, and guesses whether it is a caller's retry.
         let is_caller_retry = hub.record_request(&service, &route.name, time_left);
         let path_and_query =
--- a/crates/filberttrail-gateway/src/copy.rs
+++ b/crates/filberttrail-gateway/src/copy.rs
@@ -8,7 +8,8 @@
 use filberttrail_fleet::snapshot::{Progress, Revision};
 use filberttrail_fleet::{Configuration, Snapshot, Table, upstream};
 use filberttrail_journal::journal::Priority;
-use filberttrail_web::server::read_body;
+use filberttrail_web::memory::Part;
+use filberttrail_web::server::{crowded, read_body};
 use filberttrail_web::{Body, Request, Response};
 use hyper::Method;
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,8 @@
 const TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum size of a copy, in bytes.
 const SIZE_LIMIT: usize = 8 << 20;
+/// The team under which other entries hold memory.
+const OWNER: &str = "entries";
 
 /// A snapshot with the configuration. Parts that the receiver has already are left out.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -175,8 +178,9 @@
     /// Responds to another entry, whose request has the revisions that it knows, with a snapshot of
     /// what was read from the store since.
     pub async fn serve_snapshot(self: Arc<Self>, hub: Arc<Hub>, request: Request) -> Response {
-        let body = read_body(request.into_body(), message::SIZE_LIMIT, TIMEOUT).await;
-        let known = match body {
+        let (memory, limit) = (&hub.memory, message::SIZE_LIMIT);
+        let body = read_body(request.into_body(), limit, TIMEOUT, memory, Part::Peers, OWNER);
+        let known = match body.await {
             Ok(body) => ciborium::from_reader(&body[..]).unwrap_or_default(),
             Err(problem) => return problem.into_response(),
         };
@@ -189,7 +193,9 @@
         if let Err(error) = ciborium::into_writer(&copy, &mut encoded) {
             log::error!("cannot encode the snapshot for another entry: {error}");
         }
-        Response::new(Body::new(encoded))
+        // Snapshots for several slow entries at once could exceed the memory: the oldest gives way.
+        let held = hub.memory.hold(Part::Peers, OWNER, encoded);
+        held.map_or_else(|| crowded().into_response(), Response::new)
     }
 }
 
--- a/crates/filberttrail-gateway/src/daemon.rs
+++ b/crates/filberttrail-gateway/src/daemon.rs
@@ -7,6 +7,7 @@
 use filberttrail_journal::{Journal, reload};
 use filberttrail_kernel::{Error, Result, clock};
 use filberttrail_store::Objects;
+use filberttrail_web::memory::Part;
 use filberttrail_web::server::{self, Limits};
 use filberttrail_web::{Body, Request, Response};
 use hyper::StatusCode;
@@ -31,6 +32,12 @@
 const HEADER_WAIT: Duration = Duration::from_secs(15);
 /// Maximum number of headers in a request.
 const HEADER_LIMIT: usize = 64;
+/// Maximum number of connections to the readiness endpoint, and of those to the metrics endpoint. Few
+/// programs poll them.
+const MONITOR_CONNECTIONS: usize = 16;
+/// Minimum of the maximum number of connections from other entries. It is a quarter of that of callers'
+/// connections, as hundreds of entries fetch snapshots from a relay.
+const PEER_CONNECTIONS_MINIMUM: usize = 32;
 
 /// A gateway process: an entry that forwards requests directly to upstreams.
 pub struct Gateway {
@@ -90,10 +97,16 @@
         let current_settings = hub.settings.clone();
         tokio::spawn(reload::run(hub.journal.clone(), current_settings, reloads, reread));
         let (_close_internal, stop_internal) = watch::channel(false);
+        let internal_limits = |connections: usize| Limits {
+            connections,
+            receive_bytes: server::RECEIVE_BYTES_MINIMUM,
+            memory: hub.memory.clone(),
+            ..Limits::default()
+        };
         let hub_for_readiness = hub.clone();
         tokio::spawn(server::serve(
             ready,
-            Limits::default(),
+            internal_limits(MONITOR_CONNECTIONS),
             stop_internal.clone(),
             move |request| {
                 let response = respond_readiness(&hub_for_readiness, &request);
@@ -104,14 +117,15 @@
         let hub_for_peers = hub.clone();
         tokio::spawn(server::serve(
             peer_listener,
-            Limits::default(),
+            internal_limits((hub.settings.connections / 4).max(PEER_CONNECTIONS_MINIMUM)),
             stop_internal.clone(),
             move |request| peers.clone().serve_snapshot(hub_for_peers.clone(), request),
         ));
         if let Some(address) = metrics {
             let listener = server::bind(address).await?;
             let hub_for_metrics = hub.clone();
-            tokio::spawn(server::serve(listener, Limits::default(), stop_internal, move |_| {
+            let limits = internal_limits(MONITOR_CONNECTIONS);
+            tokio::spawn(server::serve(listener, limits, stop_internal, move |_| {
                 let response = respond_metrics(&hub_for_metrics);
                 async move { response }
             }));
@@ -121,6 +135,8 @@
             connections: hub.settings.connections,
             headers: HEADER_LIMIT,
             header_wait: HEADER_WAIT,
+            receive_bytes: receive_bytes(&hub),
+            memory: hub.memory.clone(),
             ..Limits::default()
         };
         let hub_for_callers = hub.clone();
@@ -152,6 +168,14 @@
     }
 }
 
+/// Returns the size of the receive buffers of callers' connections, so that the unread bytes of all
+/// connections together fit into the part of the memory that is for connections, if there is enough of
+/// it for the minimum.
+fn receive_bytes(hub: &Hub) -> usize {
+    let share = hub.memory.size(Part::Connections) / hub.settings.connections.max(1);
+    share.clamp(server::RECEIVE_BYTES_MINIMUM, server::RECEIVE_BYTES)
+}
+
 fn spawn_followers(
     hub: &Arc<Hub>,
     peers: &Arc<Peers>,
--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -4,7 +4,6 @@
 use crate::connection::Pool;
 use crate::currency::Currency;
 use crate::id_hash::{IdHash, hash_id};
-use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::outcome::Outcome;
 use crate::permit::Permit;
@@ -23,6 +22,7 @@
 use filberttrail_kernel::clock;
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::revision;
+use filberttrail_web::memory;
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -65,8 +65,8 @@
     pub metrics: Metrics,
     /// Idle connections to upstreams.
     pub pool: Pool,
-    /// Memory for large response bodies.
-    pub memory: Memory,
+    /// Budget of the memory that is held for callers and other entries.
+    pub memory: memory::Budget,
     /// What is blamed for crashes.
     pub blame: Blame,
     /// Proofs that what was read from the store is current.
@@ -92,6 +92,8 @@
         metrics: Metrics,
     ) -> Arc<Self> {
         let pool = Pool::new(clock.clone());
+        let memory =
+            memory::Budget::new(memory::Sizes::with_memory(settings.memory_bytes), clock.clone());
         let blame = Blame::new(clock.clone(), journal.clone());
         let currency = Currency::new(&clock);
         let mut state = State::default();
@@ -108,7 +110,7 @@
             journal,
             metrics,
             pool,
-            memory: Memory::new(),
+            memory,
             blame,
             currency,
             unreadable: Unreadable::default(),
@@ -378,6 +380,7 @@
             self.metrics.set_store_age(kind, Duration::from_millis(u64::from(age)));
         }
         self.metrics.set_condemned_subjects(self.blame.count_condemned());
+        self.metrics.set_memory(&self.memory);
         self.metrics.render()
     }
 
--- a/crates/filberttrail-gateway/src/memory.rs
+++ b/crates/filberttrail-gateway/src/memory.rs
@@ -1,71 +1,85 @@
-//! Reads response bodies into memory, of which all large bodies together get a limited amount.
+//! Reads response bodies of upstreams within the memory budget.
 
 use crate::exchange::Failed;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use filberttrail_web::Body;
+use filberttrail_web::memory::{Budget, Buffer, Charge, Part, SMALL_BODY};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use hyper::body::{Body as _, Incoming};
 
 /// Maximum size of one body, in bytes.
 const BODY_LIMIT: usize = 16 << 20;
-/// Maximum size of all large bodies that are being read, in bytes. The smallest entries have 160 MB
-/// of memory.
-const TOTAL_LIMIT: usize = 48 << 20;
-/// Size up to which a body does not count against the total, in bytes, so that large bodies do not
-/// displace small ones.
-const SMALL_BODY: usize = 64 << 10;
 
-/// The memory for large response bodies.
-#[derive(Debug, Clone, Default)]
-pub struct Memory {
-    used: Arc<AtomicUsize>,
+/// A small body with its charge.
+struct Small {
+    bytes: Vec<u8>,
+    _charge: Charge,
 }
 
-/// A part of the memory, which is returned when dropped.
-struct Part {
-    memory: Memory,
-    size: usize,
+impl AsRef<[u8]> for Small {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
-impl Memory {
-    /// Creates a memory of which nothing is used.
-    pub fn new() -> Self {
-        Self::default()
+/// Reads a complete response body for a caller of a team. It stays charged until the caller has taken it.
+/// A large one may give way to others before; then the caller's connection is closed.
+pub async fn read_response(
+    budget: &Budget,
+    mut body: Incoming,
+    team: &str,
+) -> Result<Body, Failed> {
+    let announced = body.size_hint().exact();
+    if announced.is_some_and(|length| length > BODY_LIMIT as u64) {
+        return Err(too_large());
     }
-
-    /// Reads a complete body.
-    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, Failed> {
-        let mut collected = BytesMut::new();
-        let mut part = Part { memory: self.clone(), size: 0 };
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| Failed::from_connection(&error))?;
-            let Ok(data) = frame.into_data() else { continue };
-            let size = collected.len() + data.len();
-            if size > BODY_LIMIT {
-                return Err(Failed::Unusable(format!("the body exceeds {BODY_LIMIT} bytes")));
-            }
-            if size > SMALL_BODY && !part.grow(size) {
-                let fault = format!("large bodies together exceed {TOTAL_LIMIT} bytes");
-                return Err(Failed::Unusable(fault));
-            }
-            collected.extend_from_slice(&data);
+    let Some(first) = next_data(&mut body).await? else { return Ok(Body::empty()) };
+    if body.is_end_stream() && first.len() <= SMALL_BODY {
+        // Copied, as the bytes would keep the whole read buffer of the upstream's connection.
+        let bytes = first.to_vec();
+        let charge = budget.charge(Part::Responses, bytes.len());
+        let _charge = charge.ok_or_else(crowded)?;
+        return Ok(Body::new(Bytes::from_owner(Small { bytes, _charge })));
+    }
+    let largest = announced.map_or(BODY_LIMIT, |length| length as usize);
+    let mut buffer = Buffer::new(budget, Part::Responses, team, largest);
+    if !buffer.push(&first) {
+        return Err(crowded());
+    }
+    drop(first);
+    loop {
+        let data = tokio::select! {
+            biased;
+            data = next_data(&mut body) => data?,
+            () = buffer.evicted() => return Err(crowded()),
+        };
+        let Some(data) = data else { break };
+        if buffer.length() + data.len() > BODY_LIMIT {
+            return Err(too_large());
+        }
+        if !buffer.push(&data) {
+            return Err(crowded());
         }
-        Ok(collected.freeze())
     }
+    let (bytes, hold) = buffer.finish_evictable().ok_or_else(crowded)?;
+    Ok(Body::Held(Some(bytes), hold))
 }
 
-impl Part {
-    fn grow(&mut self, size: usize) -> bool {
-        let added = size - self.size;
-        let used = self.memory.used.fetch_add(added, Ordering::Relaxed) + added;
-        self.size = size;
-        used <= TOTAL_LIMIT
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, Failed> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Failed::from_connection(&error))?;
+        match frame.into_data() {
+            Ok(data) if !data.is_empty() => return Ok(Some(data)),
+            _ => {}
+        }
     }
+    Ok(None)
 }
 
-impl Drop for Part {
-    fn drop(&mut self) {
-        self.memory.used.fetch_sub(self.size, Ordering::Relaxed);
-    }
+fn too_large() -> Failed {
+    Failed::Unusable(format!("the body exceeds {BODY_LIMIT} bytes"))
+}
+
+fn crowded() -> Failed {
+    Failed::Unusable("memory for response bodies is short".to_string())
 }
--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -1,9 +1,10 @@
 //! Prometheus metrics of the gateway.
 
+use filberttrail_web::memory::{Budget, Cause, Part};
 use prometheus::core::Metric;
 use prometheus::{
-    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -19,6 +20,9 @@
     store_age: GaugeVec,
     condemned_subjects: IntGauge,
     unreadable_objects: IntCounterVec,
+    memory_used: IntGaugeVec,
+    memory_size: IntGaugeVec,
+    memory_denied: IntGaugeVec,
 }
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -35,6 +39,9 @@
         let counter = |name: &str, help: &str, label: &str| {
             IntCounterVec::new(Opts::new(name, help), &[label])
         };
+        let gauge = |name: &str, help: &str, labels: &[&str]| {
+            IntGaugeVec::new(Opts::new(name, help), labels)
+        };
         let metrics = Self {
             responses: counter("filberttrail_answers_total", "Answers to callers", "outcome")?,
             attempts: counter("filberttrail_attempts_total", "Sends to upstreams", "outcome")?,
@@ -58,6 +65,21 @@
                 ),
                 &["kind"],
             )?,
+            memory_used: gauge(
+                "filberttrail_memory_used_bytes",
+                "Memory held for callers and other entries",
+                &["part"],
+            )?,
+            memory_size: gauge(
+                "filberttrail_memory_size_bytes",
+                "Memory that may be held for callers and other entries",
+                &["part"],
+            )?,
+            memory_denied: gauge(
+                "filberttrail_memory_denied_total",
+                "Bodies and connections that were refused or evicted as memory was short",
+                &["part", "cause"],
+            )?,
             registry,
         };
         metrics.registry.register(Box::new(metrics.responses.clone()))?;
@@ -69,6 +91,9 @@
         metrics.registry.register(Box::new(metrics.store_age.clone()))?;
         metrics.registry.register(Box::new(metrics.condemned_subjects.clone()))?;
         metrics.registry.register(Box::new(metrics.unreadable_objects.clone()))?;
+        metrics.registry.register(Box::new(metrics.memory_used.clone()))?;
+        metrics.registry.register(Box::new(metrics.memory_size.clone()))?;
+        metrics.registry.register(Box::new(metrics.memory_denied.clone()))?;
         Ok(metrics)
     }
 
@@ -77,6 +102,21 @@
         self.condemned_subjects.set(parts as i64);
     }
 
+    /// Sets what the memory budget has counted.
+    pub fn set_memory(&self, budget: &Budget) {
+        for part in Part::ALL {
+            let set = |gauge: &IntGaugeVec, value: usize| {
+                gauge.with_label_values(&[part.name()]).set(value as i64);
+            };
+            set(&self.memory_used, budget.used(part));
+            set(&self.memory_size, budget.size(part));
+            for cause in Cause::ALL {
+                let gauge = self.memory_denied.with_label_values(&[part.name(), cause.name()]);
+                gauge.set(budget.denied(part, cause) as i64);
+            }
+        }
+    }
+
     /// Sets the generation of the active configuration; 0 while there is none.
     pub fn set_generation(&self, generation: u64) {
         self.generation.set(generation as i64);
--- a/crates/filberttrail-gateway/src/settings.rs
+++ b/crates/filberttrail-gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub first_start: bool,
     /// Maximum number of connections from callers.
     pub connections: usize,
+    /// Memory of the process, in bytes. Parts of it bound what is held for callers and other entries.
+    pub memory_bytes: usize,
     /// Path of the readiness endpoint.
     pub readiness_path: String,
     /// The mechanisms that tests disable. Only [`Mechanism::Blame`](filberttrail_kernel::Mechanism) is
--- a/crates/filberttrail-rebalance/src/daemon.rs
+++ b/crates/filberttrail-rebalance/src/daemon.rs
@@ -63,8 +63,9 @@
         let coordinator_task = tokio::spawn(coordinator.run());
         let (_close, closed) = watch::channel(false);
         let limits = Limits { connections: MAX_CONNECTIONS, ..Limits::default() };
+        let memory = limits.memory.clone();
         tokio::spawn(server::serve(listener, limits, closed, move |request| {
-            peer::handle_request(responder.clone(), request)
+            peer::handle_request(responder.clone(), request, memory.clone())
         }));
         server::wait_until_stopped(&mut stop).await;
         coordinator_task.abort();
--- a/crates/filberttrail-rebalance/src/peer.rs
+++ b/crates/filberttrail-rebalance/src/peer.rs
@@ -9,6 +9,7 @@
 use crate::{Interface, Settings};
 use bytes::Bytes;
 use filberttrail_kernel::clock;
+use filberttrail_web::memory::{Budget, Part};
 use filberttrail_web::{Body, Client, Request, Response, server};
 use futures::future;
 use hyper::{Method, StatusCode};
@@ -283,8 +284,14 @@
 
 /// Handles an HTTP request from another rebalancer. A body that cannot be decoded is answered with
 /// status 400.
-pub async fn handle_request(responder: Arc<Responder>, request: Request) -> Response {
-    let body = match server::read_body(request.into_body(), MAX_MESSAGE_BYTES, CALL_TIMEOUT).await {
+pub async fn handle_request(
+    responder: Arc<Responder>,
+    request: Request,
+    memory: Budget,
+) -> Response {
+    let (body, limit, part) = (request.into_body(), MAX_MESSAGE_BYTES, Part::Peers);
+    let body = server::read_body(body, limit, CALL_TIMEOUT, &memory, part, "rebalancers");
+    let body = match body.await {
         Ok(body) => body,
         Err(problem) => return problem.into_response(),
     };
--- a/crates/filberttrail-stand-in/src/lib.rs
+++ b/crates/filberttrail-stand-in/src/lib.rs
@@ -14,6 +14,7 @@
 pub use platform::Platform;
 pub use service::Service;
 
+use filberttrail_web::memory::{Budget, Part};
 use filberttrail_web::server::{self, Limits};
 use filberttrail_web::{Request, Response};
 use hyper::body::Incoming;
@@ -29,7 +30,9 @@
 
 /// Reads a request body of at most 16 MiB within 10 s; returns an empty one if that fails.
 pub(crate) async fn read_body(body: Incoming) -> bytes::Bytes {
-    server::read_body(body, 16 << 20, Duration::from_secs(10)).await.unwrap_or_default()
+    let (limit, timeout) = (16 << 20, Duration::from_secs(10));
+    let memory = Budget::unlimited();
+    server::read_body(body, limit, timeout, &memory, Part::Requests, "").await.unwrap_or_default()
 }
 
 /// Serves requests with the default connection limits until `stop` is set.
@@ -38,5 +41,6 @@
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    server::serve(listener, Limits::default(), stop, handler).await;
+    let limits = Limits { memory: Budget::unlimited(), ..Limits::default() };
+    server::serve(listener, limits, stop, handler).await;
 }
--- a/crates/filberttrail-stand-in/tests/engine.rs
+++ b/crates/filberttrail-stand-in/tests/engine.rs
@@ -4,6 +4,7 @@
 use filberttrail_kernel::id::ENGINE_INCARNATION_HEADER;
 use filberttrail_stand_in::engine::{Event, Settings};
 use filberttrail_stand_in::{Engine, text};
+use filberttrail_web::memory::{Budget, Part};
 use filberttrail_web::{Body, Client};
 use filberttrail_web::{Limits, Request, Response, server};
 use std::collections::{BTreeMap, BTreeSet};
@@ -165,7 +166,9 @@
     let handle = move |request: Request| {
         let (seen, loses) = (seen.clone(), loses.clone());
         async move {
-            let body = server::read_body(request.into_body(), 4_096, Duration::from_secs(5)).await;
+            let (body, timeout) = (request.into_body(), Duration::from_secs(5));
+            let memory = Budget::unlimited();
+            let body = server::read_body(body, 4_096, timeout, &memory, Part::Requests, "").await;
             let call: serde_json::Value =
                 serde_json::from_slice(&body.unwrap_or_default()).expect("a step");
             let mut response = Response::new(Body::empty());
--- a/crates/filberttrail-web/src/server.rs
+++ b/crates/filberttrail-web/src/server.rs
@@ -1,29 +1,32 @@
 //! An HTTP/1 server that limits the resources each caller can occupy.
 
-use crate::write_timeout;
-use crate::{Problem, Request, Response};
-use bytes::Bytes;
-use filberttrail_kernel::{Error, Result};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+mod answer;
+mod connection;
+mod read;
+mod seat;
+mod seats;
+mod socket;
+
+pub use read::{crowded, read_body};
+
+use crate::memory::{Budget, Sizes};
+use crate::{Request, Response};
+use filberttrail_kernel::{Error, Result, clock};
 use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
+use seats::Seats;
+use socket2::SockRef;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 /// Resource limits of a server.
 #[derive(Debug, Clone)]
 pub struct Limits {
-    /// The maximum number of open connections.
+    /// The maximum number of open connections. When it is reached, the connection that has been idle or
+    /// receiving a head for longest is closed in favour of a new one.
     pub connections: usize,
     /// The maximum size of a request head, in bytes.
     pub header_bytes: usize,
@@ -33,17 +36,30 @@
     pub header_wait: Duration,
     /// The timeout for a response write, while the caller reads nothing.
     pub slow_wait: Duration,
+    /// The size of the kernel's receive buffer of a connection, in bytes. What it holds counts towards
+    /// the memory of the process.
+    pub receive_bytes: usize,
+    /// The budget of the memory for connections. All servers of a process share it.
+    pub memory: Budget,
 }
 
 /// The smallest read buffer that the HTTP library accepts, in bytes.
 pub const HEADER_BYTES_MINIMUM: usize = 8_192;
 
-/// The time for which a stopping server waits for the first request of a new connection.
-const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
-
-/// The multiple of the limits up to which a head is parsed, so that a head over the limits still
-/// gets a problem document instead of a closed connection.
-const HEAD_PARSE_FACTOR: usize = 4;
+/// The memory of a process without a configured one, in bytes.
+pub const DEFAULT_MEMORY: usize = 128_000_000;
+/// The default size of a connection's receive buffer, in bytes. It is the window that Linux announces at
+/// first by default.
+pub const RECEIVE_BYTES: usize = 64 << 10;
+/// The minimum size of a connection's receive buffer, in bytes, so that a request with the largest head
+/// fits.
+pub const RECEIVE_BYTES_MINIMUM: usize = 16 << 10;
+
+/// The bounds of the number of connections that wait to be accepted. The upper one is the default of the
+/// runtime; the lower one is enough for a burst at an internal port.
+const BACKLOG: std::ops::RangeInclusive<usize> = 128..=1_024;
+/// Number of connections that may be closing in favour of new ones at once.
+const CLOSING_LIMIT: usize = 32;
 
 impl Default for Limits {
     fn default() -> Self {
@@ -53,6 +69,8 @@
             headers: 64,
             header_wait: Duration::from_secs(10),
             slow_wait: Duration::from_secs(10),
+            receive_bytes: RECEIVE_BYTES,
+            memory: Budget::new(Sizes::with_memory(DEFAULT_MEMORY), clock::System::shared()),
         }
     }
 }
@@ -75,34 +93,59 @@
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let slots = Arc::new(Semaphore::new(limits.connections));
+    configure(&listener, &limits);
+    let seats = Seats::new(limits.memory.clone(), limits.connections);
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
+        let accepted = async {
+            let stream = accept(&listener).await?;
+            while connections.len() >= limits.connections + CLOSING_LIMIT {
+                connections.join_next().await;
+            }
+            loop {
+                if let Some(taken) = seats.try_take() {
+                    return Some((stream, taken));
+                }
+                seats.freed().await;
+            }
+        };
         let accepted = tokio::select! {
-            accepted = accept(&listener, &slots) => accepted,
+            accepted = accepted => accepted,
             () = wait_until_stopped(&mut stop) => break,
         };
-        if let Some((stream, permit)) = accepted {
+        if let Some((stream, taken)) = accepted {
             let (limits, handler, stop) = (limits.clone(), handler.clone(), stop.clone());
             connections.spawn(async move {
-                serve_connection(stream, &limits, stop, handler).await;
-                drop(permit);
+                connection::serve(stream, &limits, stop, &taken.seat, handler).await;
+                drop(taken);
             });
         }
     }
     // Closing the listener resets the connections that wait to be accepted.
     for stream in take_waiting(listener) {
-        let Ok(permit) = slots.clone().try_acquire_owned() else { break };
+        let Some(taken) = seats.try_take() else { break };
         let (limits, handler, stop) = (limits.clone(), handler.clone(), stop.clone());
         connections.spawn(async move {
-            serve_connection(stream, &limits, stop, handler).await;
-            drop(permit);
+            connection::serve(stream, &limits, stop, &taken.seat, handler).await;
+            drop(taken);
         });
     }
     while connections.join_next().await.is_some() {}
 }
 
+/// Bounds what the kernel holds for the connections of a listener, which inherit its receive buffer.
+fn configure(listener: &TcpListener, limits: &Limits) {
+    let socket = SockRef::from(listener);
+    let backlog = limits.connections.clamp(*BACKLOG.start(), *BACKLOG.end());
+    let configured = socket
+        .set_recv_buffer_size(limits.receive_bytes)
+        .and_then(|()| socket.listen(backlog as i32));
+    if let Err(error) = configured {
+        log::warn!("cannot bound the buffers of connections: {error}; the kernel's bounds apply");
+    }
+}
+
 /// Closes a listener and returns the connections that waited to be accepted.
 fn take_waiting(listener: TcpListener) -> Vec<TcpStream> {
     let listener = match listener.into_std() {
@@ -126,13 +169,9 @@
     let _ = stop.wait_for(|stopped| *stopped).await;
 }
 
-async fn accept(
-    listener: &TcpListener,
-    slots: &Arc<Semaphore>,
-) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-    let permit = slots.clone().acquire_owned().await.ok()?;
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
-        Ok((stream, _)) => Some((stream, permit)),
+        Ok((stream, _)) => Some(stream),
         Err(error) => {
             // Usually the process is out of file descriptors; wait until other connections close.
             log::warn!("cannot accept a connection: {error}; raise the limit of open files");
@@ -142,123 +181,6 @@
     }
 }
 
-/// Whether the first request of a connection has begun.
-#[derive(Default)]
-struct Begun {
-    begun: AtomicBool,
-    notify: Notify,
-}
-
-impl Begun {
-    fn record(&self) {
-        self.begun.store(true, Ordering::Relaxed);
-        self.notify.notify_one();
-    }
-
-    async fn wait(&self) {
-        if !self.begun.load(Ordering::Relaxed) {
-            self.notify.notified().await;
-        }
-    }
-}
-
-async fn serve_connection<H, F>(
-    stream: TcpStream,
-    limits: &Limits,
-    mut stop: watch::Receiver<bool>,
-    handler: H,
-) where
-    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let bounds = limits.clone();
-    let begun = Arc::new(Begun::default());
-    let begun_by_service = begun.clone();
-    let service = service_fn(move |request| {
-        begun_by_service.record();
-        let checked = match check_head(&request, &bounds) {
-            None => Ok(handler(request)),
-            Some(problem) => Err(problem),
-        };
-        async move {
-            let response = match checked {
-                Ok(response) => response.await,
-                Err(problem) => problem.into_response(),
-            };
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_wait)
-        .max_buf_size(HEAD_PARSE_FACTOR * limits.header_bytes.max(HEADER_BYTES_MINIMUM))
-        .max_headers(HEAD_PARSE_FACTOR * limits.headers)
-        .serve_connection(
-            TokioIo::new(write_timeout::Stream::new(stream, limits.slow_wait)),
-            service,
-        );
-    tokio::pin!(connection);
-    let stopped = async {
-        wait_until_stopped(&mut stop).await;
-        // The HTTP library closes a connection from which it has read nothing yet. A caller may
-        // have sent its first request already.
-        let _ = tokio::time::timeout(FIRST_REQUEST_WAIT, begun.wait()).await;
-    };
-    let ended = tokio::select! {
-        biased;
-        ended = connection.as_mut() => ended,
-        () = stopped => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!("a caller's connection closed: {error}");
-    }
-}
-
-/// Returns a problem if the head exceeds the limits.
-///
-/// The size counts 4 bytes per header for its separators (`: ` and CRLF).
-fn check_head(request: &Request, limits: &Limits) -> Option<Problem> {
-    let headers = request.headers();
-    let lengths = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
-    let bytes = lengths.sum::<usize>() + request.uri().to_string().len();
-    let detail = if headers.len() > limits.headers {
-        format!("send at most {} headers", limits.headers)
-    } else if bytes > limits.header_bytes {
-        format!("send a head of at most {} bytes", limits.header_bytes)
-    } else {
-        return None;
-    };
-    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-    Some(Problem::new(status, "head too large", detail))
-}
-
-/// Reads a complete body of at most `limit` bytes within `timeout`.
-///
-/// Returns the problem to respond with if the body is too large, too slow or incomplete.
-pub async fn read_body(
-    body: Incoming,
-    limit: usize,
-    timeout: Duration,
-) -> std::result::Result<Bytes, Problem> {
-    let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let detail = format!("send at most {limit} bytes");
-            Err(Problem::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large", detail))
-        }
-        Ok(Err(error)) => Err(Problem::new(StatusCode::BAD_REQUEST, "body broken off", error)),
-        Err(_) => {
-            let detail = format!("send the whole body within {} ms", timeout.as_millis());
-            Err(Problem::new(StatusCode::REQUEST_TIMEOUT, "body too slow", detail))
-        }
-    }
-}
-
 /// Creates a response with a JSON body.
 pub fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response {
     let text = serde_json::to_vec(value).unwrap_or_default();
