Add a benchmark of a crowd that sends tiny chunks

Missing: nothing showed what bodies in chunks of one byte cost an ordinary caller, before and after a change to how bodies are read.

Change: "filberttrail bench crowd" starts an estate of stand-ins, entries and sidecars in its process, sends bodies in chunks of one byte that never end from a number of connections to one entry, and prints the latency of ordinary requests and the entries' processor time per ordinary request, without and with the crowd. It has no target. It measures an entry and not a gateway, as the stand-ins of the platform that a gateway needs are never linked into the program.

--- a/crates/filberttrail-cli/src/commands/measure/mod.rs
+++ b/crates/filberttrail-cli/src/commands/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod control;
+pub mod crowd;
 pub mod departure;
 pub mod failures;
 pub mod limits;
--- a/crates/filberttrail-cli/src/commands/measure/outcome.rs
+++ b/crates/filberttrail-cli/src/commands/measure/outcome.rs
@@ -20,7 +20,7 @@
 }
 
 /// Prints a table with a column for each field of the rows.
-fn print_table<R: Serialize>(rows: &[R]) {
+pub fn print_table<R: Serialize>(rows: &[R]) {
     for (index, row) in rows.iter().enumerate() {
         let value = serde_json::to_value(row).unwrap_or_default();
         let Some(fields) = value.as_object() else { continue };
