Refuse requests with further transfer codings

Cause: the HTTP library accepts 'gzip, chunked' and 'chunked' stated twice and removes one layer of chunks; the gateway drops the header, so an upstream ran the encoded bytes as a plain body. Found by the tests of malformed requests: 4 of 4 such requests got 200.

Change: the check of heads answers 501 unless Transfer-Encoding is exactly 'chunked'. Ruled out: forwarding the header, as the body of a retry is sent with its length.

--- a/crates/filberttrail-cli/src/commands/measure/crowd.rs
+++ b/crates/filberttrail-cli/src/commands/measure/crowd.rs
@@ -24,6 +24,7 @@
             line: "bench crowd --connections 50 --requests 200",
             about: "Prints both measurements as a table",
         }],
+        exit_codes: None,
         run,
     }
 }
--- a/crates/filberttrail-web/src/server/connection.rs
+++ b/crates/filberttrail-web/src/server/connection.rs
@@ -7,6 +7,7 @@
 use crate::{Body, Problem, Request, Response, write_timeout};
 use hyper::StatusCode;
 use hyper::body::Body as _;
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -124,13 +125,20 @@
     }
 }
 
-/// Returns a problem if the head exceeds the limits.
+/// Returns a problem if the head exceeds the limits, or if the body is encoded in other ways than in
+/// chunks. The HTTP library only removes the chunks, so an upstream would get the encoded bytes.
 ///
 /// The size counts 4 bytes per header for its separators (`: ` and CRLF).
 fn check_head(request: &Request, limits: &Limits) -> Option<Problem> {
     let headers = request.headers();
     let lengths = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
     let bytes = lengths.sum::<usize>() + request.uri().to_string().len();
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    if codings.next().is_some_and(|first| !is_chunked(first)) || codings.next().is_some() {
+        let detail = "send a body as it is, with its length or in chunks";
+        return Some(Problem::new(StatusCode::NOT_IMPLEMENTED, "unknown transfer coding", detail));
+    }
     let detail = if headers.len() > limits.headers {
         format!("send at most {} headers", limits.headers)
     } else if bytes > limits.header_bytes {
--- a/crates/filberttrail-web/tests/support/mod.rs
+++ b/crates/filberttrail-web/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 use filberttrail_test_support::panics::Panics;
 use filberttrail_test_support::wire::Wire;
+use filberttrail_web::memory::{Budget, Part};
 use filberttrail_web::{Body, Limits, Request, Response, server};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -89,7 +90,16 @@
 async fn respond(runs: Arc<Mutex<Vec<Run>>>, request: Request, body_timeout: Duration) -> Response {
     let id = request.headers().get("request-id").and_then(|id| id.to_str().ok());
     let id = id.unwrap_or_default().to_string();
-    match server::read_body(request.into_body(), BODY_LIMIT, body_timeout).await {
+    match server::read_body(
+        request.into_body(),
+        BODY_LIMIT,
+        body_timeout,
+        &Budget::unlimited(),
+        Part::Requests,
+        "",
+    )
+    .await
+    {
         Ok(body) => {
             let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
             runs.push((id, body.to_vec()));
