--- a/crates/filberttrail-gateway/src/hub.rs
+++ b/crates/filberttrail-gateway/src/hub.rs
@@ -4,6 +4,7 @@
 use crate::connection::Pool;
 use crate::currency::Currency;
 use crate::id_hash::{IdHash, hash_id};
+use crate::memory::create_budget;
 use crate::metrics::Metrics;
 use crate::outcome::Outcome;
 use crate::permit::Permit;
@@ -22,7 +23,6 @@
 use filberttrail_kernel::clock;
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_store::revision;
-use filberttrail_web::memory;
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -66,7 +66,7 @@
     /// Idle connections to upstreams.
     pub pool: Pool,
     /// Budget of the memory that is held for callers and other entries.
-    pub memory: memory::Budget,
+    pub memory: filberttrail_web::memory::Budget,
     /// What is blamed for crashes.
     pub blame: Blame,
     /// Proofs that what was read from the store is current.
@@ -92,8 +92,7 @@
         metrics: Metrics,
     ) -> Arc<Self> {
         let pool = Pool::new(clock.clone());
-        let memory =
-            memory::Budget::new(memory::Sizes::with_memory(settings.memory_bytes), clock.clone());
+        let memory = create_budget(settings.memory_bytes, clock.clone(), journal.clone());
         let blame = Blame::new(clock.clone(), journal.clone());
         let currency = Currency::new(&clock);
         let mut state = State::default();
--- a/crates/filberttrail-gateway/src/memory.rs
+++ b/crates/filberttrail-gateway/src/memory.rs
@@ -1,11 +1,15 @@
-//! Reads response bodies of upstreams within the memory budget.
+//! The memory budget of a gateway, and the response bodies of upstreams that are read within it.
 
 use crate::exchange::Failed;
 use bytes::Bytes;
+use filberttrail_journal::Journal;
+use filberttrail_journal::journal::Priority;
+use filberttrail_kernel::clock;
 use filberttrail_web::Body;
-use filberttrail_web::memory::{Budget, Buffer, Charge, Part, SMALL_BODY};
+use filberttrail_web::memory::{Budget, Buffer, Charge, Part, SMALL_BODY, Sizes};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use serde_json::json;
 
 /// Maximum size of one body, in bytes.
 const BODY_LIMIT: usize = 16 << 20;
@@ -22,6 +26,18 @@
     }
 }
 
+/// Creates the budget of a process with this memory.
+pub fn create_budget(bytes: usize, clock: clock::Shared, journal: Journal) -> Budget {
+    Budget::new(Sizes::with_memory(bytes), clock).with_log(move |event| {
+        let fields = json!({
+            "part": event.part.name(), "used": event.used, "size": event.size,
+            "bodies": event.report.bodies, "largest_teams": event.report.largest,
+            "over": event.denied.is_some(), "denied": event.denied,
+        });
+        journal.record(Priority::Important, "crowded", fields);
+    })
+}
+
 /// Reads a complete response body for a caller of a team. It stays charged until the caller has taken it.
 /// A large one may give way to others before; then the caller's connection is closed.
 pub async fn read_response(
--- a/crates/filberttrail-web/src/memory/budget.rs
+++ b/crates/filberttrail-web/src/memory/budget.rs
@@ -1,12 +1,13 @@
 //! The memory budget of a process.
 
 use crate::Body;
+use crate::crowd::Report;
 use crate::memory::account::{Account, Bodies, Eviction};
-use crate::memory::{Buffer, Cause, Charge, Hold, Part, Sizes};
+use crate::memory::{Buffer, Cause, Charge, Event, Hold, Part, Sizes};
 use filberttrail_kernel::clock;
 use std::fmt;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 /// Size from which a body is large, in bytes.
@@ -25,13 +26,26 @@
     clock: clock::Shared,
     accounts: [Account; 4],
     lingering: AtomicUsize,
+    log: OnceLock<Log>,
 }
 
+/// Logs the start or the end of a shortage.
+type Log = Box<dyn Fn(&Event) + Send + Sync>;
+
 impl Budget {
     /// Creates a budget of which nothing is used.
     pub fn new(limits: Sizes, clock: clock::Shared) -> Self {
         let accounts = Part::ALL.map(|part| Account::new(limits.of(part)));
-        Self(Arc::new(Shared { clock, accounts, lingering: AtomicUsize::new(0) }))
+        let lingering = AtomicUsize::new(0);
+        Self(Arc::new(Shared { clock, accounts, lingering, log: OnceLock::new() }))
+    }
+
+    /// Sets how the start and the end of a shortage are logged. `log` must not use the budget.
+    pub fn with_log(self, log: impl Fn(&Event) + Send + Sync + 'static) -> Self {
+        if self.0.log.set(Box::new(log)).is_err() {
+            log::error!("the log of a memory budget was set twice; report this as a bug");
+        }
+        self
     }
 
     /// Creates a budget that is never used up, for tests and stand-ins.
@@ -229,9 +243,7 @@
         if !bodies.shortage.record(self.now()) {
             return;
         }
-        let (used, report) = (self.used(part), bodies.ledger.report());
-        let size = self.size(part);
-        log::warn!("crowded part={} used={used} size={size} {report}", part.name());
+        self.log(part, None, bodies.ledger.report());
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             let budget = self.clone();
             runtime.spawn(async move { budget.log_end(part).await });
@@ -247,11 +259,19 @@
             let Some(denied) = bodies.shortage.end(now) else { continue };
             let report = bodies.ledger.report();
             drop(bodies);
-            let used = self.used(part);
-            log::warn!("crowded_end part={} used={used} denied={denied} {report}", part.name());
+            self.log(part, Some(denied), report);
             return;
         }
     }
+
+    fn log(&self, part: Part, denied: Option<u64>, report: Report) {
+        let (used, size) = (self.used(part), self.size(part));
+        let event = Event { part, used, size, denied, report };
+        match self.0.log.get() {
+            Some(log) => log(&event),
+            None => log::warn!("crowded {event:?}"),
+        }
+    }
 }
 
 impl fmt::Debug for Budget {
