Give up a list of the store that exceeds a limit

Cause: `Objects::list` gathers pages until the store says that none follows. A page has at most 8 MiB, but a broken store can announce further pages without end.

Ruled out: a bound on the number of pages, as the store chooses their size.

Change: the pages of a list have at most 64 MiB in all, or what `set_list_limit` sets; a longer list counts as a failure of the store.

Tests: `a_list_that_never_ends_is_given_up_at_the_limit` gets an error after 15 to 20 pages. Without a limit the same list returns after 1,001 pages by its construction; that was not run, as the setter is new. A rebalancer process lists only once its engine reports a group, so this is not a process test.

--- a/crates/filberttrail-store/src/feed.rs
+++ b/crates/filberttrail-store/src/feed.rs
@@ -3,6 +3,7 @@
 //! Revisions never decrease. If the store has discarded the history since the last revision seen, or
 //! was restored from a copy, the objects are listed again.
 
+pub use crate::dialect::Dialect;
 use crate::proof::Proof;
 use crate::revision;
 use crate::watcher::Watcher;
@@ -12,7 +13,7 @@
 use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::{Mutex, Notify, OwnedMutexGuard, mpsc, watch};
 
@@ -31,37 +32,11 @@
 const RELIST_DELAY: Duration = Duration::from_millis(200);
 /// The maximum size of a response body, in bytes.
 const RESPONSE_LIMIT: usize = 8 << 20;
+/// The maximum size of all pages of a list, in bytes, unless another is set: eight of the largest pages.
+const LIST_LIMIT: usize = 8 * RESPONSE_LIMIT;
 /// The maximum number of events that wait for the receiver.
 const EVENT_CAPACITY: usize = 64;
 
-/// The store's protocol: its paths and the encoding of its requests and responses.
-#[derive(Debug, Clone, Copy)]
-pub struct Dialect {
-    /// Header of every response that counts how often the store was restored from a copy.
-    pub era_header: &'static str,
-    /// Builds the path that lists the objects of a kind whose names follow `after`.
-    pub list: fn(kind: &str, after: Option<&str>) -> String,
-    /// Builds the path that waits for changes of a kind since the revision `after`.
-    pub watch: fn(kind: &str, after: Revision, wait: Duration) -> String,
-    /// Builds the path that returns the changes of a kind since the revision `after` without
-    /// waiting; the response may lack the changes of the last seconds.
-    pub stale_changes: fn(kind: &str, after: Revision) -> String,
-    /// Builds the path of one object.
-    pub object: fn(kind: &str, name: &str) -> String,
-    /// Builds the path of one object, for a call that fails if its revision is another one.
-    pub object_at: fn(kind: &str, name: &str, revision: Revision) -> String,
-    /// Decodes one page of a list; `None` if it is malformed.
-    pub read_page: fn(&[u8]) -> Option<Page>,
-    /// Decodes changes; `None` if they are malformed.
-    pub read_changes: fn(&[u8]) -> Option<Changes>,
-    /// Decodes one object; `None` if it is malformed.
-    pub read_object: fn(&[u8]) -> Option<Object>,
-    /// Encodes an object for a request that creates it or, if `expected` is given, replaces that
-    /// revision.
-    pub write_object:
-        fn(name: &str, value: &serde_json::Value, expected: Option<Revision>) -> Vec<u8>,
-}
-
 /// A stored object.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Object {
@@ -154,6 +129,8 @@
     checkers: AtomicU32,
     /// The maximum delay before a retry, in milliseconds.
     retry_delay_limit_ms: AtomicU64,
+    /// The maximum size of all pages of a list, in bytes.
+    list_limit: AtomicUsize,
     /// Held by the one that probes the store while it is unavailable.
     probe: Arc<Mutex<()>>,
     /// Notifies of successful calls.
@@ -191,6 +168,7 @@
             era,
             checkers,
             retry_delay_limit_ms,
+            list_limit: AtomicUsize::new(LIST_LIMIT),
             probe,
             succeeded,
             has_skipped: AtomicBool::new(false),
@@ -207,11 +185,17 @@
     pub async fn list(&self, kind: &str) -> Result<(Vec<Object>, Revision)> {
         let mut objects: Vec<Object> = Vec::new();
         let mut revision = None;
+        let mut bytes = 0;
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let path = (self.dialect.list)(kind, after.as_deref());
             let response = self.call(Method::GET, &path, Vec::new(), CALL_TIMEOUT).await?;
             expect_ok(kind, &response)?;
+            bytes += response.body.len();
+            if bytes > self.list_limit.load(Ordering::Relaxed) {
+                let help = "check the store's health, or give the process more memory";
+                return Err(Error::platform(kind, "the list is too long", help).into());
+            }
             let page = (self.dialect.read_page)(&response.body).ok_or_else(|| malformed(kind))?;
             // Watching from the first page's revision repeats changes made between two pages.
             let first = *revision.get_or_insert(revision::join(response.era, page.revision));
@@ -398,6 +382,12 @@
         self.retry_delay_limit_ms.store(limit_ms, Ordering::Relaxed);
     }
 
+    /// Sets the maximum size of all pages of a list, in bytes. A longer list counts as a failure of the
+    /// store.
+    pub fn set_list_limit(&self, limit: usize) {
+        self.list_limit.store(limit, Ordering::Relaxed);
+    }
+
     pub(crate) fn retry_delay_limit(&self) -> Duration {
         Duration::from_millis(self.retry_delay_limit_ms.load(Ordering::Relaxed))
     }
--- a/crates/filberttrail-store/src/lib.rs
+++ b/crates/filberttrail-store/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod configuration;
+pub mod dialect;
 pub mod feed;
 pub mod follow;
 pub mod proof;
