Bound the bytes and frames that a connection between entry and sidecar receives

Cause: a peer that had not proved the secret could send a message of up to 16 MiB, and the library touches a read buffer of 128 KiB for each connection. A message of many small frames takes many times its bytes once decoded. A sender put up to 256 frames of any size into one message, so that three offers of 8 MiB that waited at once made a message that the peer refuses by closing the connection.

Ruled out: a smaller message limit of the WebSocket library during the handshake, as it cannot be changed afterwards without losing bytes that were already read.

Change: `Stream` counts the bytes that a connection receives: 16 KiB before the proof, after it as much as a shared memory has room for. Without room nothing is read, and the connection is closed after 2 s without a whole message, as before. A message has at most 256 frames; a sender adds frames up to 1 MiB of payloads. The read buffer has 16 KiB.

Tests: `codec.rs` has one more case, for 256 and 257 frames; the others pass unchanged.

--- a/crates/filberttrail-protocol/src/frame.rs
+++ b/crates/filberttrail-protocol/src/frame.rs
@@ -62,6 +62,20 @@
     Beat,
 }
 
+impl Frame {
+    /// Returns the size of the parts of the frame that can be large, in bytes.
+    pub fn payload_bytes(&self) -> usize {
+        match self {
+            Self::Offer(offer) => offer.body.len(),
+            Self::Chunk(_, _, bytes)
+            | Self::Manifest(bytes)
+            | Self::Part(_, bytes)
+            | Self::Stage(_, bytes) => bytes.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The identity of the connecting peer: an entry, or a sidecar that holds a lease.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
--- a/crates/filberttrail-protocol/src/lib.rs
+++ b/crates/filberttrail-protocol/src/lib.rs
@@ -7,7 +7,10 @@
 pub mod codec;
 pub mod frame;
 pub mod link;
+mod meter;
 pub mod proof;
+pub mod stream;
 
 pub use frame::{Cause, Frame, Offer, Ran};
 pub use link::Link;
+pub use stream::Stream;
--- a/crates/filberttrail-protocol/src/link.rs
+++ b/crates/filberttrail-protocol/src/link.rs
@@ -3,16 +3,18 @@
 //! The handshake consists of a challenge from the sidecar, a hello from the connecting peer and a
 //! welcome from the sidecar. With the last two, each peer proves that it knows the shared secret.
 
-use crate::codec::{self, BATCH_LIMIT, MESSAGE_LIMIT};
+use crate::codec::{self, BATCH_BYTES, BATCH_LIMIT, MESSAGE_LIMIT};
 use crate::frame::{Frame, Hello, Welcome};
+use crate::meter::Meter;
 use crate::proof;
+use crate::stream::{Stream, lock};
 use bytes::Bytes;
 use filberttrail_kernel::id::Incarnation;
 use filberttrail_kernel::{Error, Result};
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
@@ -30,17 +32,22 @@
 /// Time limit for sending a message, in case the peer does not read.
 pub const WRITE_TIMEOUT: Duration = Duration::from_millis(5_000);
 
-type Socket = WebSocketStream<TcpStream>;
+/// Size of the buffer into which a connection reads, in bytes. The library's default of 128 KiB, which
+/// it touches for each connection, costs a sidecar more than a crowd of connections sends.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
+type Socket = WebSocketStream<Stream>;
 
 /// A connection whose peers have authenticated each other.
 pub struct Link {
     sink: SplitSink<Socket, Message>,
-    stream: SplitStream<Socket>,
+    reader: Reader,
 }
 
 /// The receiving half of a link.
 pub struct Reader {
     stream: SplitStream<Socket>,
+    meter: Arc<Mutex<Meter>>,
 }
 
 /// The sending half of a link.
@@ -65,28 +72,28 @@
     /// `connection` is a number that rises with each connection to the sidecar; `nonce` must not be
     /// reused. Fails with a `frame` error.
     pub async fn connect(
-        stream: TcpStream,
+        stream: impl Into<Stream>,
         identity: &Identity,
         connection: u64,
         nonce: Bytes,
     ) -> Result<(Self, Welcome)> {
-        let handshake = Self::perform_client_handshake(stream, identity, connection, nonce);
+        let handshake = Self::perform_client_handshake(stream.into(), identity, connection, nonce);
         tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await.map_err(|_| timeout_error())?
     }
 
     async fn perform_client_handshake(
-        stream: TcpStream,
+        stream: Stream,
         identity: &Identity,
         connection: u64,
         nonce: Bytes,
     ) -> Result<(Self, Welcome)> {
-        let _ = stream.set_nodelay(true);
+        let meter = stream.meter();
         let url = "ws://sidecar/frames";
         let upgraded =
             tokio_tungstenite::client_async_with_config(url, stream, Some(websocket_config()))
                 .await;
         let (socket, _) = upgraded.map_err(connection_error)?;
-        let mut link = Self::new(socket);
+        let mut link = Self::new(socket, meter);
         let Frame::Challenge(challenge) = link.next_frame().await? else {
             return Err(unexpected_message("a challenge"));
         };
@@ -108,6 +115,7 @@
         if !proof::verify(&expected, &welcome.proof) {
             return Err(authentication_error(&welcome.upstream));
         }
+        lock(&link.reader.meter).prove();
         Ok((link, welcome))
     }
 
@@ -115,23 +123,23 @@
     ///
     /// `challenge` is a nonce and must not be reused. Fails with a `frame` error.
     pub async fn accept(
-        stream: TcpStream,
+        stream: impl Into<Stream>,
         identity: &Identity,
         challenge: Bytes,
     ) -> Result<(Self, Hello)> {
-        let handshake = Self::perform_server_handshake(stream, identity, challenge);
+        let handshake = Self::perform_server_handshake(stream.into(), identity, challenge);
         tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await.map_err(|_| timeout_error())?
     }
 
     async fn perform_server_handshake(
-        stream: TcpStream,
+        stream: Stream,
         identity: &Identity,
         challenge: Bytes,
     ) -> Result<(Self, Hello)> {
-        let _ = stream.set_nodelay(true);
+        let meter = stream.meter();
         let upgraded =
             tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config())).await;
-        let mut link = Self::new(upgraded.map_err(connection_error)?);
+        let mut link = Self::new(upgraded.map_err(connection_error)?, meter);
         link.send(&[Frame::Challenge(challenge.clone())]).await?;
         let Frame::Hello(hello) = link.next_frame().await? else {
             return Err(unexpected_message("a hello"));
@@ -140,6 +148,7 @@
         if !proof::verify(&expected, &hello.proof) {
             return Err(authentication_error(&hello.node));
         }
+        lock(&link.reader.meter).prove();
         let proof =
             proof::compute(&identity.secret, &hello.nonce, &identity.name, identity.incarnation);
         let welcome =
@@ -148,14 +157,14 @@
         Ok((link, hello))
     }
 
-    fn new(socket: Socket) -> Self {
+    fn new(socket: Socket, meter: Arc<Mutex<Meter>>) -> Self {
         let (sink, stream) = socket.split();
-        Self { sink, stream }
+        Self { sink, reader: Reader { stream, meter } }
     }
 
     /// Splits the link into its receiving and its sending half.
     pub fn split(self) -> (Reader, Writer) {
-        (Reader { stream: self.stream }, Writer { sink: self.sink })
+        (self.reader, Writer { sink: self.sink })
     }
 
     /// Sends frames immediately, in one message.
@@ -166,11 +175,11 @@
 
     /// Receives the frames of the next message, without a time limit.
     pub async fn next(&mut self) -> Result<Vec<Frame>> {
-        read_frames(&mut self.stream).await
+        self.reader.read_frames().await
     }
 
     async fn next_frame(&mut self) -> Result<Frame> {
-        let mut frames = read_frames(&mut self.stream).await?;
+        let mut frames = self.reader.read_frames().await?;
         if frames.len() != 1 {
             return Err(unexpected_message("one frame"));
         }
@@ -181,7 +190,7 @@
 impl Reader {
     /// Receives the frames of the next message. Fails if none arrives within `IDLE_TIMEOUT`.
     pub async fn next(&mut self) -> Result<Vec<Frame>> {
-        match tokio::time::timeout(IDLE_TIMEOUT, read_frames(&mut self.stream)).await {
+        match tokio::time::timeout(IDLE_TIMEOUT, self.read_frames()).await {
             Ok(frames) => frames,
             Err(_) => {
                 let error = format!("received nothing for {} ms", IDLE_TIMEOUT.as_millis());
@@ -191,6 +200,15 @@
     }
 }
 
+impl Reader {
+    /// Receives a message, whose memory is returned once it is decoded.
+    async fn read_frames(&mut self) -> Result<Vec<Frame>> {
+        let frames = read_frames(&mut self.stream).await;
+        lock(&self.meter).end_message();
+        frames
+    }
+}
+
 impl Writer {
     /// Sends queued frames, many in one message, and heartbeats. Returns when the queue is closed
     /// or a write fails.
@@ -198,21 +216,18 @@
         let mut batch = Vec::with_capacity(BATCH_LIMIT);
         loop {
             batch.clear();
-            match tokio::time::timeout(HEARTBEAT_PERIOD, frames.recv_many(&mut batch, BATCH_LIMIT))
-                .await
-            {
-                Ok(0) => {
+            match tokio::time::timeout(HEARTBEAT_PERIOD, frames.recv()).await {
+                Ok(None) => {
                     let _ = self.sink.close().await;
                     return Ok(());
                 }
-                Ok(_) => {
+                Ok(Some(frame)) => {
+                    let mut bytes = frame.payload_bytes();
+                    batch.push(frame);
+                    take_queued(&mut frames, &mut batch, &mut bytes);
                     if batch.iter().all(may_be_delayed) {
                         tokio::time::sleep(BATCH_DELAY).await;
-                    }
-                    while batch.len() < BATCH_LIMIT
-                        && let Ok(frame) = frames.try_recv()
-                    {
-                        batch.push(frame);
+                        take_queued(&mut frames, &mut batch, &mut bytes);
                     }
                 }
                 Err(_) => batch.push(Frame::Beat),
@@ -230,6 +245,22 @@
     }
 }
 
+/// Adds queued frames to a batch until it is full. A batch exceeds `BATCH_BYTES` by less than one frame,
+/// so that it is not longer than the peer receives.
+fn take_queued(
+    frames: &mut mpsc::UnboundedReceiver<Frame>,
+    batch: &mut Vec<Frame>,
+    bytes: &mut usize,
+) {
+    while batch.len() < BATCH_LIMIT
+        && *bytes < BATCH_BYTES
+        && let Ok(frame) = frames.try_recv()
+    {
+        *bytes += frame.payload_bytes();
+        batch.push(frame);
+    }
+}
+
 /// Returns whether a frame may be delayed for a short time to share a message with others.
 fn may_be_delayed(frame: &Frame) -> bool {
     matches!(frame, Frame::Chunk(_, sequence, _) if *sequence > 0)
@@ -254,6 +285,7 @@
     WebSocketConfig::default()
         .max_message_size(Some(MESSAGE_LIMIT))
         .max_frame_size(Some(MESSAGE_LIMIT))
+        .read_buffer_size(READ_BUFFER_BYTES)
 }
 
 type ErrorReport = error_stack::Report<Error>;
--- a/crates/filberttrail-protocol/tests/codec.rs
+++ b/crates/filberttrail-protocol/tests/codec.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use filberttrail_fleet::blame::Report;
-use filberttrail_protocol::codec::{decode, encode};
+use filberttrail_protocol::codec::{BATCH_LIMIT, decode, encode};
 use filberttrail_protocol::frame::{Failure, Head, Hello, Key, Load};
 use filberttrail_protocol::{Cause, Frame, Offer, Ran};
 
@@ -87,3 +87,12 @@
     }
     assert!(decode(&[0x81; 100_000]).is_err());
 }
+
+/// Guards against a message of many small frames, which take far more memory than its bytes.
+#[test]
+fn a_message_with_more_frames_than_a_peer_sends_is_refused() {
+    let batch = vec![Frame::Beat; BATCH_LIMIT];
+    assert_eq!(decode(&encode(&batch).expect("a message")).expect("frames"), batch);
+    let batch = vec![Frame::Beat; BATCH_LIMIT + 1];
+    assert!(decode(&encode(&batch).expect("a message")).is_err());
+}
