Bound what crowds make an entry and a sidecar hold

Cause: nothing bounded the sum of request bodies and of unread responses in an entry, the connections to a sidecar, or the responses that a sidecar keeps until they are acknowledged. The response of a cancelled attempt that cannot be aborted stayed in the sidecar for ten minutes. Admin ports accepted 4,096 connections.

Ruled out: failing responses in a sidecar as soon as there is no memory, as an upstream can wait; and refusing new strangers at the limit of handshakes, which keeps entries out.

Change: `--memory-mb` of both (1,024) is divided into parts for bodies, responses and messages. An entry refuses a body without memory with 503 and cuts a response without it. A sidecar refuses an offer as full, reads nothing more from its upstream while there is no memory for responses, and discards a cancelled response. Admin ports accept 64 connections.

--- a/crates/filberttrail-cli/src/commands/run/sidecar.rs
+++ b/crates/filberttrail-cli/src/commands/run/sidecar.rs
@@ -23,6 +23,8 @@
             "--upstream ADDRESS   the address of the engine or service",
             "--platform ADDRESS   the platform's IP address and port",
             "--secret SECRET      secret of entries and sidecars; better set FILBERTTRAIL_SECRET",
+            "--connections N      maximum number of connections from entries (1024)",
+            "--memory-mb N        memory of the machine for this process, in megabytes (1024)",
             "--head-wait TIME     timeout for a response head (30s)",
             "--pause-wait TIME    how long a stream may pause (10s)",
             "--drain-wait TIME    how long a shutdown waits for open responses (10m)",
@@ -50,6 +52,8 @@
         head_wait: arguments.duration_or("--head-wait", Duration::from_secs(30))?,
         pause_wait: arguments.duration_or("--pause-wait", Duration::from_secs(10))?,
         drain_wait: arguments.duration_or("--drain-wait", Duration::from_secs(600))?,
+        connections: arguments.value_or("--connections", 1_024)?,
+        memory_bytes: arguments.value_or("--memory-mb", 1_024_usize)?.saturating_mul(1_000_000),
         disabled: Disabled::new(),
     };
     arguments.finish()?;
--- a/crates/filberttrail-dev/src/estate.rs
+++ b/crates/filberttrail-dev/src/estate.rs
@@ -306,6 +306,8 @@
             head_wait: Duration::from_secs(30),
             pause_wait: Duration::from_secs(10),
             drain_wait: Duration::from_secs(30),
+            connections: 1_024,
+            memory_bytes: 1_024_000_000,
             disabled: self.options.disabled.clone(),
         };
         let frame_listener = self.take_listener(endpoints.listen)?;
@@ -351,6 +353,7 @@
             policy: self.options.policy.clone(),
             limits: Limits::default(),
             body_bytes: 1 << 20,
+            memory_bytes: 1_024_000_000,
             body_wait: Duration::from_secs(10),
             request_wait: Duration::from_secs(10),
             leave_notice: Duration::from_millis(200),
--- a/crates/filberttrail-entry/src/context.rs
+++ b/crates/filberttrail-entry/src/context.rs
@@ -9,13 +9,16 @@
 use filberttrail_declare::View;
 use filberttrail_kernel::clock;
 use filberttrail_kernel::id::Incarnation;
-use filberttrail_limit::Budget;
+use filberttrail_limit::{Budget, Memory};
 use filberttrail_relay::Blame;
 use filberttrail_route::{Index, Policy};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
+/// The part of the memory of the machine for request bodies, in percent.
+const BODIES_PERCENT: usize = 30;
+
 /// The shared state of one entry.
 pub struct Context {
     /// The entry's settings.
@@ -38,6 +41,8 @@
     pub metrics: Metrics,
     /// What is blamed for crashes of upstreams.
     pub blame: Arc<Blame>,
+    /// Memory for the request bodies of open requests.
+    pub bodies: Memory,
     /// Whether the entry is shutting down; it then reports that it is not ready.
     pub leaving: AtomicBool,
     next_number: AtomicU64,
@@ -69,6 +74,7 @@
         let blame = Arc::new(Blame::new(clock.clone()));
         let routing = Routing { prefixes: Index::new(), budget: Budget::new(0), random };
         Self {
+            bodies: Memory::new(settings.memory_bytes / 100 * BODIES_PERCENT),
             settings,
             incarnation,
             clock,
--- a/crates/filberttrail-entry/src/daemon.rs
+++ b/crates/filberttrail-entry/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::{admin, http};
 use filberttrail_declare::model::Preset;
 use filberttrail_kernel::{Mechanism, Result, clock, plugin};
+use filberttrail_limit::Memory;
 use filberttrail_protocol::link::Identity;
 use filberttrail_relay::replicator::Source;
 use filberttrail_relay::{Blame, Replicator, RuntimeHandles};
@@ -24,6 +25,15 @@
 /// at the same time.
 const STATUS_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// The maximum number of connections to the admin port: a few probes, scrapers and operators.
+const ADMIN_CONNECTIONS: usize = 64;
+
+/// The parts of the memory of the machine for responses that callers have not read, and for messages
+/// that are being received, in percent. `context` has the part for request bodies; the rest is for the
+/// process itself, for the buffers of connections, and for copies of what is being sent.
+const RESPONSES_PERCENT: usize = 25;
+const MESSAGES_PERCENT: usize = 10;
+
 /// An entry whose ports are bound.
 pub struct Entry {
     settings: Settings,
@@ -69,7 +79,8 @@
             runtimes.control.spawn(publish_status(context.clone(), platform.clone()));
         let (admin_close, admin_stop) = watch::channel(false);
         let admin_context = context.clone();
-        let serving = server::serve(admin, Limits::default(), admin_stop, move |request| {
+        let limits = Limits { connections: ADMIN_CONNECTIONS, ..Limits::default() };
+        let serving = server::serve(admin, limits, admin_stop, move |request| {
             admin::handle(admin_context.clone(), platform.clone(), request)
         });
         let admin_server = runtimes.control.spawn(serving);
@@ -118,7 +129,11 @@
     let subset = settings.subset;
     let ordered = settings.disabled.is_enabled(Mechanism::Assembly);
     let pool = Pool::new(identity, replicator, clock.clone(), runtimes.traffic.clone(), ordered);
-    let pool = pool.with_subset(subset);
+    let memory = settings.memory_bytes;
+    let pool = pool.with_subset(subset).with_memory(
+        Memory::new(memory / 100 * RESPONSES_PERCENT),
+        Memory::new(memory / 100 * MESSAGES_PERCENT),
+    );
     let gate = Arc::new(Gate::new(&initial_preset(), clock.clone()));
     let context = Context::new(settings, incarnation, clock, view, pool, gate, policy);
     Ok(Arc::new(context.with_blame(blame)))
--- a/crates/filberttrail-entry/src/http.rs
+++ b/crates/filberttrail-entry/src/http.rs
@@ -5,7 +5,8 @@
 use crate::{dispatch, response};
 use filberttrail_declare::View;
 use filberttrail_declare::model::Team;
-use filberttrail_web::server::{json, read_body};
+use filberttrail_limit::body;
+use filberttrail_web::server::json;
 use filberttrail_web::{Problem, Request, Response};
 use hyper::header::{AUTHORIZATION, HeaderMap, WWW_AUTHENTICATE};
 use hyper::{Method, StatusCode};
@@ -79,7 +80,7 @@
 ) -> Result<Incoming, Box<Problem>> {
     let settings = &context.settings;
     let (head, body) = request.into_parts();
-    let body = read_body(body, settings.body_bytes, settings.body_wait).await?;
+    let body = body::read(body, settings.body_bytes, settings.body_wait, &context.bodies).await?;
     let id = id.to_string();
     Ok(Incoming { id, method: head.method, uri: head.uri, headers: head.headers, body })
 }
--- a/crates/filberttrail-entry/src/pool.rs
+++ b/crates/filberttrail-entry/src/pool.rs
@@ -4,6 +4,7 @@
 use filberttrail_declare::View;
 use filberttrail_declare::model::Upstream as DeclaredUpstream;
 use filberttrail_kernel::clock;
+use filberttrail_limit::Memory;
 use filberttrail_protocol::link::Identity;
 use filberttrail_relay::Inbox;
 use filberttrail_route::subset;
@@ -26,6 +27,8 @@
     runtime: Handle,
     ordered: bool,
     subset: usize,
+    responses: Memory,
+    messages: Memory,
 }
 
 impl Pool {
@@ -49,6 +52,8 @@
             runtime,
             ordered,
             subset: usize::MAX,
+            responses: Memory::unlimited(),
+            messages: Memory::unlimited(),
         }
     }
 
@@ -58,6 +63,12 @@
         self
     }
 
+    /// Sets the memory for responses that callers have not read, and for messages that are being
+    /// received.
+    pub fn with_memory(self, responses: Memory, messages: Memory) -> Self {
+        Self { responses, messages, ..self }
+    }
+
     /// Returns the connection to the upstream with this name.
     pub fn find(&self, name: &str) -> Option<Arc<Upstream>> {
         let upstreams = self.upstreams.read().ok()?;
@@ -110,7 +121,11 @@
     fn add(&self, name: String, data_centre: String, address: SocketAddr) {
         let (changed, clock) = (self.changed.clone(), self.clock.clone());
         let upstream = Upstream::new(name.clone(), data_centre, address, changed, clock);
-        let upstream = Arc::new(upstream.with_order(self.ordered));
+        let upstream = Arc::new(
+            upstream
+                .with_order(self.ordered)
+                .with_memory(self.responses.clone(), self.messages.clone()),
+        );
         let (stop, stop_receiver) = watch::channel(false);
         let running =
             upstream.clone().run(self.identity.clone(), self.replicator.clone(), stop_receiver);
--- a/crates/filberttrail-entry/src/settings.rs
+++ b/crates/filberttrail-entry/src/settings.rs
@@ -11,6 +11,12 @@
 /// The maximum request body that fits into one frame to a sidecar, in bytes.
 pub const BODY_LIMIT_MAXIMUM: usize = 8 << 20;
 
+/// The smallest memory, in bytes.
+pub const MEMORY_MINIMUM: usize = 32_000_000;
+/// The smallest memory as a multiple of the largest body, so that a single body of that size fits into
+/// half of the memory for bodies.
+pub const MEMORY_PER_BODY: usize = 8;
+
 /// The settings of one entry process.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -36,6 +42,8 @@
     pub limits: Limits,
     /// The maximum size of a request body, in bytes.
     pub body_bytes: usize,
+    /// The memory of the machine for this process, in bytes.
+    pub memory_bytes: usize,
     /// The timeout for reading a request body.
     pub body_wait: Duration,
     /// The timeout for the response head, over all attempts of a request.
@@ -62,6 +70,12 @@
             let help = format!("use 1 to {BODY_LIMIT_MAXIMUM}");
             return Err(Error::setting("--body-bytes", self.body_bytes, help).into());
         }
+        let needed = MEMORY_PER_BODY * self.body_bytes;
+        if self.memory_bytes < needed.max(MEMORY_MINIMUM) {
+            let minimum = needed.max(MEMORY_MINIMUM).div_ceil(1_000_000);
+            let help = format!("give at least {minimum} MB for this --body-bytes");
+            return Err(Error::setting("--memory-mb", self.memory_bytes / 1_000_000, help).into());
+        }
         if self.subset == 0 {
             let help = "connect to at least one upstream of each model and service";
             return Err(Error::setting("--subset", "0", help).into());
--- a/crates/filberttrail-entry/src/upstream.rs
+++ b/crates/filberttrail-entry/src/upstream.rs
@@ -3,16 +3,18 @@
 //! Invariant: the events of an attempt carry the response to that attempt from its start, in order,
 //! with no part lost or duplicated. They end with `End` only if the response is complete.
 
-use crate::events::{self, Event, Receiver, Sender};
+use crate::disconnect::{DisconnectGuard, connection_lost};
+use crate::events::{self, Event, Receiver};
+use crate::pending_attempt::PendingAttempt;
 use bytes::Bytes;
 use filberttrail_kernel::clock;
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_kernel::id::Incarnation;
+use filberttrail_limit::Memory;
 use filberttrail_protocol::frame::{Failure, Head, Load};
 use filberttrail_protocol::link::{Identity, Reader};
-use filberttrail_protocol::{Cause, Frame, Link, Offer, Ran};
+use filberttrail_protocol::{Cause, Frame, Link, Offer, Stream};
 use filberttrail_relay::{Inbox, Message};
-use filberttrail_state::Assembly;
 use filberttrail_state::assembly::Arrival;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -42,14 +44,6 @@
 /// Sends frames to the task that writes them to the connection.
 type FrameSender = mpsc::UnboundedSender<Frame>;
 
-/// An attempt that was sent to the sidecar and has not ended.
-struct PendingAttempt {
-    events: Sender,
-    assembly: Assembly,
-    has_head: bool,
-    repeatable: bool,
-}
-
 /// The state of the connection.
 #[derive(Default)]
 struct State {
@@ -80,6 +74,8 @@
     changed: Arc<Notify>,
     clock: clock::Shared,
     ordered: bool,
+    responses: Memory,
+    messages: Memory,
 }
 
 impl Upstream {
@@ -97,7 +93,24 @@
     ) -> Self {
         let id = stable_hash(name.as_bytes());
         let state = Mutex::default();
-        Self { name, data_centre, address, id, state, changed, clock, ordered: true }
+        Self {
+            name,
+            data_centre,
+            address,
+            id,
+            state,
+            changed,
+            clock,
+            ordered: true,
+            responses: Memory::unlimited(),
+            messages: Memory::unlimited(),
+        }
+    }
+
+    /// Sets the memory for responses that callers have not read, and for messages that are being
+    /// received.
+    pub fn with_memory(self, responses: Memory, messages: Memory) -> Self {
+        Self { responses, messages, ..self }
     }
 
     /// Sets whether chunks that are out of order are dropped and requested again; disabled only in
@@ -134,13 +147,11 @@
     pub fn offer(&self, mut offer: Offer) -> Option<Receiver> {
         let mut state = self.state();
         let frames = state.frames.clone()?;
-        let (events, receiver) = events::channel();
+        let (events, receiver) = events::channel(self.responses.hold());
         offer.upstream = self.name.clone();
         offer.incarnation = state.incarnation;
         let (number, repeatable) = (offer.number, offer.repeatable);
-        let attempt =
-            PendingAttempt { events, assembly: Assembly::new(), has_head: false, repeatable };
-        state.pending.insert(number, attempt);
+        state.pending.insert(number, PendingAttempt::new(events, repeatable));
         // If the connection has just closed, the offer is lost and not sent again. On the next
         // connection, `Resume` is sent for it, and the sidecar reports the attempt as not run.
         let _ = frames.send(Frame::Offer(Box::new(offer)));
@@ -201,6 +212,7 @@
             tokio::time::timeout(RECONNECT_DELAY * 5, TcpStream::connect(self.address)).await;
         let Ok(Ok(stream)) = stream else { return };
         let nonce = Bytes::copy_from_slice(&fastrand::u128(..).to_be_bytes());
+        let stream = Stream::new(stream, &self.messages);
         let (link, welcome) = match Link::connect(stream, identity, connection_number, nonce).await
         {
             Ok(connected) => connected,
@@ -259,7 +271,8 @@
         }
     }
 
-    fn set_disconnected(&self) {
+    /// Records the end of the connection.
+    pub(crate) fn set_disconnected(&self) {
         let now = self.clock.now();
         let mut state = self.state();
         state.frames = None;
@@ -325,9 +338,9 @@
         let arrival = attempt.assembly.receive_chunk(sequence);
         match if self.ordered { arrival } else { Arrival::InOrder } {
             Arrival::InOrder => {
-                attempt.events.send(Event::Chunk(chunk));
                 // The queue of unread events is unbounded, so a slow caller is cut off here.
-                if attempt.events.unread() > UNREAD_LIMIT {
+                let has_memory = attempt.events.send_chunk(chunk);
+                if !has_memory || attempt.events.unread() > UNREAD_LIMIT {
                     let failure = Failure { cause: Cause::CallerSlow, ..connection_lost() };
                     attempt.events.send(Event::Failed(failure));
                     state.pending.remove(&number);
@@ -381,23 +394,3 @@
         self.changed.notify_waiters();
     }
 }
-
-/// Returns the failure of an attempt whose connection was lost. The upstream may have run the
-/// request, because nothing more is known about it.
-fn connection_lost() -> Failure {
-    Failure { ran: Ran::Unknown, cause: Cause::Lost, retry_after_ms: 1_000 }
-}
-
-/// Records the end of a connection, also when its task is cancelled.
-struct DisconnectGuard<'a> {
-    upstream: &'a Upstream,
-    replicator: &'a Inbox,
-    connection_id: u64,
-}
-
-impl Drop for DisconnectGuard<'_> {
-    fn drop(&mut self) {
-        self.upstream.set_disconnected();
-        let _ = self.replicator.send(Message::Disconnected(self.connection_id));
-    }
-}
--- a/crates/filberttrail-sidecar/src/attempt.rs
+++ b/crates/filberttrail-sidecar/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::buffer::Buffer;
 use crate::context::Context;
+use crate::response::{collect, push_chunk};
 use crate::trial::Trial;
 use bytes::Bytes;
 use filberttrail_kernel::Mechanism;
@@ -33,8 +34,6 @@
 const CLAIM_TIMEOUT_WHEN_FAILING: Duration = Duration::from_millis(250);
 /// Maximum size of a body that is recorded as an outcome, in bytes.
 const MAX_OUTCOME_BYTES: usize = 16_384;
-/// Maximum size of the response body of a request with an idempotency key, in bytes.
-const MAX_KEYED_RESPONSE_BYTES: usize = 4 << 20;
 /// Header that marks a recorded response of an earlier attempt.
 const REPLAYED_HEADER: &str = "filberttrail-replayed";
 
@@ -43,7 +42,8 @@
     Failure { ran: Ran::No, cause, retry_after_ms: RETRY_AFTER.as_millis() as u64 }
 }
 
-fn unknown(cause: Cause) -> Failure {
+/// Returns the failure of an attempt that may have been run.
+pub fn unknown(cause: Cause) -> Failure {
     Failure { ran: Ran::Unknown, cause, retry_after_ms: RETRY_AFTER.as_millis() as u64 }
 }
 
@@ -97,8 +97,7 @@
         Ok(None) => {}
         Ok(Some(outcome)) => {
             context.mark_not_run(attempt);
-            replay(buffer, outcome);
-            return Ok(());
+            return replay(context, buffer, outcome).await;
         }
         Err(failure) => {
             context.mark_not_run(attempt);
@@ -115,10 +114,10 @@
         }
     };
     let (head, body) = response.into_parts();
-    let collected = http_body_util::Limited::new(body, MAX_KEYED_RESPONSE_BYTES).collect();
+    let collected = collect(context, body);
     let body = match tokio::time::timeout(context.settings.head_wait, collected).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => {
+        Ok(Some(body)) => body,
+        Ok(None) => {
             context.finish(attempt, false);
             return Err(unknown(trial.fail().await));
         }
@@ -132,8 +131,7 @@
     let head = convert_head(&head);
     record(context, &object, &key, attempt, &head, &body).await;
     buffer.push_head(head);
-    buffer.push_chunk(body);
-    Ok(())
+    push_chunk(context, buffer, body).await
 }
 
 /// Claims the key. Returns `None` if it is granted to this attempt, or the recorded outcome of the
@@ -216,12 +214,12 @@
     }
 }
 
-fn replay(buffer: &Buffer, outcome: Outcome) {
+async fn replay(context: &Context, buffer: &Buffer, outcome: Outcome) -> Result<(), Failure> {
     let mut headers: Vec<(String, Bytes)> =
         outcome.headers.into_iter().map(|(name, value)| (name, value.into())).collect();
     headers.push((REPLAYED_HEADER.to_string(), Bytes::from_static(b"true")));
     buffer.push_head(Head { status: outcome.status, headers });
-    buffer.push_chunk(outcome.body.into());
+    push_chunk(context, buffer, outcome.body.into()).await
 }
 
 /// Ends the trial of a request whose response has ended, and returns how it did.
@@ -368,9 +366,8 @@
         let Ok(chunk) = frame.into_data() else { continue };
         let now = context.now();
         context.record_token(now.saturating_sub(last));
-        last = now;
-        if !buffer.push_chunk(chunk) {
-            return Err(unknown(Cause::CallerSlow));
-        }
+        push_chunk(context, buffer, chunk).await?;
+        // The wait for memory is no gap between tokens.
+        last = context.now();
     }
 }
--- a/crates/filberttrail-sidecar/src/connection.rs
+++ b/crates/filberttrail-sidecar/src/connection.rs
@@ -4,20 +4,21 @@
 use crate::buffer::Buffer;
 use crate::context::Context;
 use crate::coordinator;
+use crate::handshakes::Handshakes;
 use crate::trial::Trial;
 use bytes::Bytes;
 use filberttrail_kernel::Result;
 use filberttrail_kernel::id::Attempt;
 use filberttrail_protocol::frame::{Failure, Hello, Load};
 use filberttrail_protocol::link::Identity;
-use filberttrail_protocol::{Cause, Frame, Link, Offer, Ran};
+use filberttrail_protocol::{Cause, Frame, Link, Offer, Ran, Stream};
 use filberttrail_relay::{Inbox, Message};
 use filberttrail_state::ledger::Withdrawal;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 /// Interval at which a changed load is sent, and delay after a failure to accept a connection.
 const LOAD_PERIOD: Duration = Duration::from_millis(100);
@@ -27,21 +28,26 @@
 /// Sends frames to the task that writes them to the connection.
 type FrameSender = mpsc::UnboundedSender<Frame>;
 
-/// Authenticates a connection and serves it until it is closed.
-pub async fn serve(
-    context: Arc<Context>,
-    identity: Identity,
-    replicator: Inbox,
+/// Share of the connections whose peers may not have proved the secret yet: one in this many.
+const HANDSHAKE_SHARE: usize = 4;
+/// Bytes that an offer takes besides its body: its headers, which an entry limits to 16 KiB by default
+/// and which usually have a few hundred bytes.
+const OFFER_OVERHEAD: usize = 4_096;
+
+/// Authenticates a connection. Returns `None` if the peer does not prove the secret.
+async fn authenticate(
+    context: &Context,
+    identity: &Identity,
     stream: TcpStream,
-) {
+) -> Option<(Link, Hello)> {
     let challenge = Bytes::copy_from_slice(&fastrand::u128(..).to_be_bytes());
-    let (link, hello) = match Link::accept(stream, &identity, challenge).await {
-        Ok(accepted) => accepted,
-        Err(error) => {
-            log::warn!("connection refused: {}", error.current_context());
-            return;
-        }
-    };
+    let stream = Stream::new(stream, &context.messages);
+    let accepted = Link::accept(stream, identity, challenge).await;
+    accepted.inspect_err(|error| log::warn!("connection refused: {}", error.current_context())).ok()
+}
+
+/// Serves an authenticated connection until it is closed.
+async fn serve(context: Arc<Context>, replicator: Inbox, link: Link, hello: Hello) {
     context.register_connection(hello.incarnation, hello.connection);
     let (mut reader, writer) = link.split();
     let (frames, queue) = mpsc::unbounded_channel();
@@ -146,13 +152,22 @@
             return Err(Cause::Misdirected);
         }
         let attempt = self.attempt(offer.number);
-        let buffer = Arc::new(Buffer::new(offer.number, self.frames.clone()));
-        let blamed = Trial::check(context, &offer).err();
+        let holding = context.responses.hold();
+        let buffer = Arc::new(Buffer::new(offer.number, self.frames.clone(), holding));
+        let mut memory = context.offers.hold();
+        let blamed = match memory.grow(offer.body.len() + OFFER_OVERHEAD) {
+            true => Trial::check(context, &offer).err(),
+            false => Some(Cause::Full),
+        };
         if !context.offer(attempt, self.hello.connection, buffer.clone(), blamed)? {
             return Ok(());
         }
         let repeatable = offer.repeatable;
-        let task = tokio::spawn(attempt::run(context.clone(), attempt, offer, buffer));
+        let running = attempt::run(context.clone(), attempt, offer, buffer);
+        let task = tokio::spawn(async move {
+            running.await;
+            drop(memory);
+        });
         if repeatable {
             context.set_abort_handle(attempt, task.abort_handle());
         }
@@ -194,10 +209,35 @@
     replicator: Inbox,
     listener: tokio::net::TcpListener,
 ) -> Result<()> {
+    let connections = context.settings.connections;
+    let unproved = (connections / HANDSHAKE_SHARE).max(1);
+    let mut handshakes = Handshakes::new(unproved);
+    let unproved = Arc::new(Semaphore::new(unproved));
+    let places = Arc::new(Semaphore::new(connections - connections / HANDSHAKE_SHARE));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(context.clone(), identity.clone(), replicator.clone(), stream));
+                handshakes.make_room();
+                // A handshake that was ended has its socket until its task is dropped.
+                let Ok(handshake_place) = unproved.clone().acquire_owned().await else { continue };
+                let (context, identity) = (context.clone(), identity.clone());
+                let (replicator, places) = (replicator.clone(), places.clone());
+                let handshake = tokio::spawn(async move {
+                    let _handshake_place = handshake_place;
+                    let Some((link, hello)) = authenticate(&context, &identity, stream).await
+                    else {
+                        return;
+                    };
+                    let Ok(place) = places.try_acquire_owned() else {
+                        log::warn!("connection of {} refused: raise --connections", hello.node);
+                        return;
+                    };
+                    tokio::spawn(async move {
+                        serve(context, replicator, link, hello).await;
+                        drop(place);
+                    });
+                });
+                handshakes.add(handshake.abort_handle());
             }
             Err(error) => {
                 log::warn!("cannot accept a connection: {error}; raise the limit of open files");
--- a/crates/filberttrail-sidecar/src/context.rs
+++ b/crates/filberttrail-sidecar/src/context.rs
@@ -9,6 +9,7 @@
 use filberttrail_kernel::digest::stable_hash;
 use filberttrail_kernel::id::{Attempt, Fence, Incarnation, MapVersion};
 use filberttrail_kernel::{Mechanism, clock};
+use filberttrail_limit::Memory;
 use filberttrail_protocol::Cause;
 use filberttrail_protocol::frame::Load;
 use filberttrail_relay::Blame;
@@ -25,6 +26,12 @@
 /// Concurrency limit of the upstream until the configuration is known.
 const COLD_LIMIT: u32 = 1;
 
+/// Parts of the memory of the machine, in percent. The rest is for the process itself, for the buffers
+/// of connections, and for copies of what is being sent.
+const OFFERS_PERCENT: usize = 25;
+const RESPONSES_PERCENT: usize = 20;
+const MESSAGES_PERCENT: usize = 10;
+
 /// The shared state of a sidecar and its upstream.
 pub struct Context {
     /// The settings that the sidecar was started with.
@@ -43,6 +50,12 @@
     pub metrics: Metrics,
     /// What is blamed for crashes of upstreams.
     pub blame: Arc<Blame>,
+    /// Memory for the requests of attempts that have not ended.
+    pub offers: Memory,
+    /// Memory for responses that no entry has acknowledged.
+    pub responses: Memory,
+    /// Memory for messages that are being received.
+    pub messages: Memory,
     state: Mutex<State>,
 }
 
@@ -84,8 +97,21 @@
         };
         let metrics = Metrics::new();
         let client = Client::new().with_kept(|status| status.is_success());
-        let state = Mutex::new(state);
-        Self { settings, incarnation, clock, view, claims, client, metrics, blame, state }
+        let part = |percent| Memory::new(settings.memory_bytes / 100 * percent);
+        Self {
+            offers: part(OFFERS_PERCENT),
+            responses: part(RESPONSES_PERCENT),
+            messages: part(MESSAGES_PERCENT),
+            settings,
+            incarnation,
+            clock,
+            view,
+            claims,
+            client,
+            metrics,
+            blame,
+            state: Mutex::new(state),
+        }
     }
 
     /// Returns the time since the sidecar's clock was started.
@@ -156,12 +182,19 @@
         }
     }
 
-    /// Aborts an attempt if it has an abort handle.
+    /// Aborts an attempt if it has an abort handle. The response of another one is discarded.
     pub fn cancel(&self, attempt: Attempt) {
         let now = self.now();
         let mut state = self.state();
         let abort = state.executions.get(&attempt).and_then(|execution| execution.abort.clone());
-        let Some(abort) = abort else { return };
+        let Some(abort) = abort else {
+            let execution = state.executions.get(&attempt);
+            execution.inspect(|execution| execution.buffer.discard());
+            if !state.ledger.is_open(attempt) {
+                state.executions.remove(&attempt);
+            }
+            return;
+        };
         abort.abort();
         state.executions.remove(&attempt);
         if state.ledger.is_open(attempt) {
--- a/crates/filberttrail-sidecar/src/daemon.rs
+++ b/crates/filberttrail-sidecar/src/daemon.rs
@@ -26,6 +26,9 @@
 /// then for open requests on the admin port.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of connections to the admin port: a few probes, scrapers and operators.
+const ADMIN_CONNECTIONS: usize = 64;
+
 /// A sidecar whose listeners are bound, ready to run.
 pub struct Sidecar {
     settings: Settings,
@@ -95,7 +98,8 @@
         ));
         let (close_admin, admin_stop) = watch::channel(false);
         let admin_context = context.clone();
-        let serving = server::serve(admin, Limits::default(), admin_stop, move |request| {
+        let limits = Limits { connections: ADMIN_CONNECTIONS, ..Limits::default() };
+        let serving = server::serve(admin, limits, admin_stop, move |request| {
             admin::handle_request(admin_context.clone(), request)
         });
         let serving = runtimes.control.spawn(serving);
--- a/crates/filberttrail-sidecar/src/lib.rs
+++ b/crates/filberttrail-sidecar/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod context;
 pub mod coordinator;
 pub mod daemon;
+pub mod handshakes;
 pub mod metrics;
+pub mod response;
 pub mod settings;
 pub mod trial;
 
