--- a/crates/filberttrail-rebalance/src/daemon.rs
+++ b/crates/filberttrail-rebalance/src/daemon.rs
@@ -14,6 +14,13 @@
 
 /// Maximum number of connections from other rebalancers. Usually there is one per rank.
 const MAX_CONNECTIONS: usize = 512;
+/// Share of the descriptors for connections from other rebalancers: one in this many. The others are for
+/// calls to other rebalancers and to engines.
+const CONNECTIONS_SHARE: usize = 3;
+
+/// Share of the VM's memory for the bytes of a list of the store: one in this many. Decoded, they take
+/// a few times as much. The registrations of 4,096 engines, of 500 bytes each, have 2 MB.
+const LIST_SHARE: usize = 16;
 
 /// A rebalancer process.
 pub struct Rebalancer {
@@ -44,6 +51,7 @@
         let clock = clock::Boot::shared();
         let journal = Journal::new(settings.name.clone(), clock.clone());
         let journal_task = tokio::spawn(journal.clone().run());
+        let connections = MAX_CONNECTIONS.min(settings.descriptors / CONNECTIONS_SHARE).max(1);
         let listener = server::bind(settings.listen).await?;
         let start = json!({
             "engine": settings.engine.to_string(), "listen": settings.listen.to_string(),
@@ -52,6 +60,7 @@
         tokio::spawn(reload::run(journal.clone(), settings.clone(), reloads, reread));
         let responder = Arc::new(Responder::new(&settings, interface.clone(), clock.clone()));
         let objects = Objects::new(settings.store, interface.dialect);
+        objects.set_list_limit(settings.memory_bytes / LIST_SHARE);
         let coordinator = Coordinator::new(
             settings,
             interface,
@@ -62,7 +71,7 @@
         );
         let coordinator_task = tokio::spawn(coordinator.run());
         let (_close, closed) = watch::channel(false);
-        let limits = Limits { connections: MAX_CONNECTIONS, ..Limits::default() };
+        let limits = Limits { connections, ..Limits::default() };
         tokio::spawn(server::serve(listener, limits, closed, move |request| {
             peer::handle_request(responder.clone(), request)
         }));
--- a/crates/filberttrail-rebalance/src/lib.rs
+++ b/crates/filberttrail-rebalance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod fanout;
 pub mod interface;
+pub mod items;
 pub mod order;
 pub mod peer;
 pub mod plan;
--- a/crates/filberttrail-rebalance/src/peer.rs
+++ b/crates/filberttrail-rebalance/src/peer.rs
@@ -3,19 +3,22 @@
 //! encoded as CBOR and sent over HTTP.
 
 use crate::engine::{CALL_TIMEOUT, Engine};
+use crate::items::Items;
 use crate::order::Envelope;
 use crate::report::{Holding, Report};
 use crate::sampler::{self, Sampler};
 use crate::{Interface, Settings};
 use bytes::Bytes;
 use filberttrail_kernel::clock;
-use filberttrail_web::{Body, Client, Request, Response, server};
+use filberttrail_limit::{Memory, body};
+use filberttrail_web::{Body, Client, Request, Response};
 use futures::future;
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// Timeout of a call to one rebalancer. It covers one engine call, or all attempts of an order, and
 /// the network round trip.
@@ -25,6 +28,18 @@
 const RELAY_CALL_TIMEOUT: Duration = Duration::from_millis(450);
 /// Maximum size of a message in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Maximum number of members in a call. A relay of a group of 4,096 ranks, the largest, has 63.
+const MAX_MEMBERS: usize = 64;
+/// Part of the VM's memory for received calls, in percent.
+const CALLS_PERCENT: usize = 25;
+/// Part of the VM's memory for responses to forwarded calls, and for those to the rank's own
+/// coordinator, in percent.
+const RESPONSES_PERCENT: usize = 15;
+/// Share of the descriptors for forwarded calls: one in this many.
+const FORWARDED_SHARE: usize = 3;
+/// Bytes that a value of a message takes at most when it is decoded, on average. The largest, a member's
+/// reply, takes about 300 and has three values.
+const ITEM_BYTES: usize = 96;
 
 /// What a call asks of a rank.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -139,12 +154,23 @@
     clock: clock::Shared,
     sampler: Mutex<Sampler>,
     last_contact: Mutex<Option<Contact>>,
+    /// Memory for received calls.
+    calls: Memory,
+    /// Calls to members that run at once.
+    forwarded: Semaphore,
+    /// Calls of the rank's own coordinator that run at once.
+    own: Semaphore,
 }
 
 impl Responder {
     /// Creates a responder for the local engine.
     pub fn new(settings: &Settings, interface: Interface, clock: clock::Shared) -> Self {
+        let responses = settings.memory_bytes / 100 * RESPONSES_PERCENT / MAX_MESSAGE_BYTES;
+        let forwarded = responses.min(settings.descriptors / FORWARDED_SHARE);
         Self {
+            calls: Memory::new(settings.memory_bytes / 100 * CALLS_PERCENT),
+            forwarded: Semaphore::new(forwarded.max(1)),
+            own: Semaphore::new(responses.max(1)),
             engine: Engine::new(settings.engine, interface.clone()),
             interface,
             port: settings.listen.port(),
@@ -218,8 +244,11 @@
 
     /// Calls another rank through its rebalancer or, if that does not respond, at its engine.
     /// `encoded` is the encoded call.
+    /// Returns no reply if too many calls are being forwarded.
     async fn call_member(&self, member: Member, query: &Query, encoded: &Bytes) -> Replies {
         let Member(rank, engine) = member;
+        let place = tokio::time::timeout(PEER_CALL_TIMEOUT, self.forwarded.acquire()).await;
+        let Ok(Ok(_place)) = place else { return Replies::default() };
         match self.send(engine, encoded.clone(), PEER_CALL_TIMEOUT).await {
             Ok(answer) => Replies::from_answer(rank, answer),
             Err(error) => {
@@ -233,6 +262,8 @@
     /// only its own engine is called, and the members are missing from the replies.
     pub async fn call_relay(&self, member: Member, call: &Call) -> Replies {
         let timeout = if call.members.is_empty() { PEER_CALL_TIMEOUT } else { RELAY_CALL_TIMEOUT };
+        let place = tokio::time::timeout(timeout, self.own.acquire()).await;
+        let Ok(Ok(_place)) = place else { return Replies::default() };
         match self.send(member.1, encode(call), timeout).await {
             Ok(answer) => Replies::from_answer(member.0, answer),
             Err(error) => {
@@ -277,18 +308,24 @@
         if response.status() != StatusCode::OK {
             return Err(format!("status {}", response.status()));
         }
-        ciborium::from_reader(&response.body()[..]).map_err(|error| error.to_string())
+        let answer = decode::<Answer>(response.body(), &mut self.calls.hold());
+        answer.filter(|answer| answer.members.len() <= MAX_MEMBERS).ok_or("unreadable".to_string())
     }
 }
 
-/// Handles an HTTP request from another rebalancer. A body that cannot be decoded is answered with
-/// status 400.
+/// Handles an HTTP request from another rebalancer. A body that cannot be decoded, has too many members
+/// or would take too much memory is answered with status 400.
 pub async fn handle_request(responder: Arc<Responder>, request: Request) -> Response {
-    let body = match server::read_body(request.into_body(), MAX_MESSAGE_BYTES, CALL_TIMEOUT).await {
+    let calls = &responder.calls;
+    let body = match body::read(request.into_body(), MAX_MESSAGE_BYTES, CALL_TIMEOUT, calls).await {
         Ok(body) => body,
         Err(problem) => return problem.into_response(),
     };
-    let Ok(call) = ciborium::from_reader::<Call, _>(&body[..]) else {
+    // Held until the call is answered.
+    let mut memory = calls.hold();
+    let call = decode::<Call>(&body, &mut memory);
+    drop(body);
+    let Some(call) = call.filter(|call| call.members.len() <= MAX_MEMBERS) else {
         let mut response = Response::new(Body::empty());
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
@@ -296,6 +333,16 @@
     Response::new(Body::new(encode(&responder.handle_call(call).await)))
 }
 
+/// Decodes a message. Returns `None` if it is malformed, or if there is no memory for its decoded form.
+fn decode<T: for<'a> Deserialize<'a>>(
+    message: &[u8],
+    memory: &mut filberttrail_limit::Holding,
+) -> Option<T> {
+    let Items(items) = ciborium::from_reader(message).ok()?;
+    let has_memory = memory.grow(items.saturating_mul(ITEM_BYTES));
+    has_memory.then(|| ciborium::from_reader(message).ok()).flatten()
+}
+
 fn encode<T: Serialize>(value: &T) -> Bytes {
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(value, &mut bytes) {
--- a/crates/filberttrail-rebalance/src/settings.rs
+++ b/crates/filberttrail-rebalance/src/settings.rs
@@ -18,4 +18,8 @@
     /// Whether the whole system starts for the first time, with a store that holds no objects of
     /// it.
     pub first_start: bool,
+    /// Memory of the VM, in bytes.
+    pub memory_bytes: usize,
+    /// Number of file descriptors that are not reserved for files.
+    pub descriptors: usize,
 }
