--- a/crates/filberttrail-cli/src/commands/run/entry.rs
+++ b/crates/filberttrail-cli/src/commands/run/entry.rs
@@ -32,6 +32,7 @@
             "--headers N           maximum number of headers in a request (64)",
             "--header-wait TIME    timeout for receiving a request head (10s)",
             "--body-bytes N        maximum size of a request body, in bytes (1048576)",
+            "--memory-mb N         memory of the machine for this process, in megabytes (1024)",
             "--body-wait TIME      timeout for receiving a request body (10s)",
             "--request-wait TIME   how long a caller waits for a response head (30s)",
             "--slow-wait TIME      how long a caller may read nothing of its response (10s)",
@@ -86,6 +87,7 @@
             ..defaults
         },
         body_bytes: arguments.value_or("--body-bytes", 1 << 20)?,
+        memory_bytes: arguments.value_or("--memory-mb", 1_024_usize)?.saturating_mul(1_000_000),
         body_wait: arguments.duration_or("--body-wait", Duration::from_secs(10))?,
         request_wait: arguments.duration_or("--request-wait", Duration::from_secs(30))?,
         leave_notice: arguments.duration_or("--leave-notice", Duration::from_secs(2))?,
--- a/crates/filberttrail-entry/src/http.rs
+++ b/crates/filberttrail-entry/src/http.rs
@@ -5,8 +5,8 @@
 use crate::{dispatch, response};
 use filberttrail_declare::View;
 use filberttrail_declare::model::Team;
-use filberttrail_web::memory::Part;
-use filberttrail_web::server::{json, read_body};
+use filberttrail_limit::body;
+use filberttrail_web::server::json;
 use filberttrail_web::{Problem, Request, Response};
 use hyper::header::{AUTHORIZATION, HeaderMap, WWW_AUTHENTICATE};
 use hyper::{Method, StatusCode};
@@ -53,19 +53,12 @@
     let path = request.uri().path().to_string();
     let call = match (request.method().clone(), path.as_str()) {
         (Method::GET, "/v1/models") => return Ok(list_models(&view, &team)),
-        (Method::POST, "/v1/completions" | "/v1/chat/completions") => call::check_completion(
-            &view,
-            &team,
-            read_request(context, request, id, &team.name).await?,
-        )?,
+        (Method::POST, "/v1/completions" | "/v1/chat/completions") => {
+            call::check_completion(&view, &team, read_request(context, request, id).await?)?
+        }
         (_, path) if path.starts_with("/services/") => {
             let name = path.split('/').nth(2).unwrap_or_default();
-            call::check_service_call(
-                &view,
-                &team,
-                name,
-                read_request(context, request, id, &team.name).await?,
-            )?
+            call::check_service_call(&view, &team, name, read_request(context, request, id).await?)?
         }
         (_, "/v1/models" | "/v1/completions" | "/v1/chat/completions") => {
             let detail = "use GET for models and POST for completions";
@@ -84,13 +77,10 @@
     context: &Context,
     request: Request,
     id: &str,
-    team: &str,
 ) -> Result<Incoming, Box<Problem>> {
     let settings = &context.settings;
     let (head, body) = request.into_parts();
-    let (limit, timeout) = (settings.body_bytes, settings.body_wait);
-    let body = read_body(body, limit, timeout, &settings.limits.memory, Part::Requests, team);
-    let body = body.await?;
+    let body = body::read(body, settings.body_bytes, settings.body_wait, &context.bodies).await?;
     let id = id.to_string();
     Ok(Incoming { id, method: head.method, uri: head.uri, headers: head.headers, body })
 }
