Keep the platform's names in its folder, and name a gauge as one

The floods of the crowd tests and the settings of a rebalancer come from the stand-in of callers now; what is sent and the bounds are the same. The number of times that memory was denied is a gauge, so its name no longer ends in _total.

--- a/crates/filberttrail-gateway/src/metrics.rs
+++ b/crates/filberttrail-gateway/src/metrics.rs
@@ -76,7 +76,7 @@
                 &["part"],
             )?,
             memory_denied: gauge(
-                "filberttrail_memory_denied_total",
+                "filberttrail_memory_denied",
                 "Bodies and connections that were refused or evicted as memory was short",
                 &["part", "cause"],
             )?,
--- a/tests/crowds/flood.rs
+++ b/tests/crowds/flood.rs
@@ -1,6 +1,7 @@
 //! The requests of hostile clients, most of which stop just short of their end.
 
 use crate::gateway::KEY;
+use filberttrail_platform_stand_in::caller;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -91,10 +92,7 @@
 }
 
 fn head() -> String {
-    format!(
-        "POST /pay/crowd HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: crowd-CLIENT\r\n\
-         Request-Deadline: 60000\r\nAuthorization: Bearer {KEY}\r\n"
-    )
+    caller::raw_head("/pay/crowd", "crowd-CLIENT", KEY, Duration::from_secs(60))
 }
 
 /// Sends pieces until the gateway closes the connection or reads nothing more.
--- a/tests/crowds_inputs/rebalancer.rs
+++ b/tests/crowds_inputs/rebalancer.rs
@@ -1,7 +1,7 @@
 //! The rebalancer process under test, with a stand-in store.
 
 use crate::limits::{Limits, Watch};
-use filberttrail_platform_stand_in::Store;
+use filberttrail_platform_stand_in::{Store, caller};
 use filberttrail_test_support::process::{Process, free_ports};
 use filberttrail_web::Client;
 use hyper::{Method, StatusCode};
@@ -37,15 +37,11 @@
         let ports = free_ports(2);
         let address = SocketAddr::from(([127, 0, 0, 1], ports[0]));
         let silent = TcpListener::bind(SocketAddr::from(([127, 0, 0, 2], ports[0])));
-        let settings = json!({
-            "node": "side-1", "role": "rebalancer", "ipAddress": "127.0.0.1", "zone": "noord",
-            "listen": {}, "internalPorts": [ports[0], ports[0]],
-            "app": format!("127.0.0.1:{}", ports[1]), "service": "draft",
-            "platform": { "address": store.address.to_string(), "form": "objects" },
-            "limits": {
-                "memoryMb": Limits::MEMORY_MB, "fileDescriptors": Limits::DESCRIPTORS,
-            },
-        });
+        let engine = SocketAddr::from(([127, 0, 0, 1], ports[1]));
+        let internal = [ports[0], ports[0]];
+        let mut settings = caller::rebalancer_settings("side-1", internal, engine, store.address);
+        settings["limits"]["memoryMb"] = json!(Limits::MEMORY_MB);
+        settings["limits"]["fileDescriptors"] = json!(Limits::DESCRIPTORS);
         let name = format!("crowds-inputs-{}-{}.json", std::process::id(), ports[0]);
         let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::write(&path, settings.to_string()).expect("the settings are written");
