--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -2,6 +2,7 @@
 //! root. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod case_crowd;
+mod case_verdict;
 mod gateway;
 mod http;
 mod json;
@@ -37,6 +38,7 @@
     }
     let trouble = trouble != "0";
     let verdict = match case.as_str() {
+        "verdict" => case_verdict::run(&record, &folder, trouble),
         "crowd" => case_crowd::run(&record, &folder, trouble),
         _ => None,
     };
