Review: a part that crashes engines late is never found out (case 8)

Cause: five events and half a second of an answer clear all parts of its prompt, and a crash after that accuses the whole request alone, of which no two are alike. Case 6 plays four deployments at once, as it is a matter of chance where a trial runs.

--- a/review/common-2/case_verdict.rs
+++ b/review/common-2/case_verdict.rs
@@ -11,12 +11,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Number of deployments that are played at once.
+const DEPLOYMENTS: usize = 4;
 /// Ranks of the group, and the one that crashes.
 const RANKS: usize = 8;
 const CRASHING: usize = 3;
 /// Number of crashes. The rank is away for some time after each, and the group opens some time later.
-const CRASHES: usize = 16;
-const AWAY: Duration = Duration::from_millis(1_800);
+const CRASHES: usize = 24;
+const AWAY: Duration = Duration::from_millis(1_000);
 const FORM: Duration = Duration::from_millis(600);
 /// Time from the opening of the group to the next crash.
 const UP: Duration = Duration::from_millis(400);
@@ -43,7 +45,27 @@
     record: Arc<Record>,
 }
 
+/// Plays the same at several deployments at once, as it is a matter of chance where a trial runs. The rule
+/// is broken if it is at any of them.
 pub fn run(record: &Arc<Record>, folder: &Path, trouble: bool) -> Option<bool> {
+    let plays: Vec<_> = (1..=DEPLOYMENTS)
+        .map(|number| {
+            let (record, folder) = (record.of_deployment(number), folder.join(number.to_string()));
+            http::spawn(move || {
+                std::fs::create_dir_all(&folder).ok()?;
+                play(&record, &folder, trouble)
+            })
+        })
+        .collect();
+    let verdicts: Vec<Option<bool>> =
+        plays.into_iter().map(|play| play.join().ok().flatten()).collect();
+    let verdicts: Vec<bool> = verdicts.into_iter().collect::<Option<_>>()?;
+    let broken = verdicts.iter().filter(|broken| **broken).count();
+    record.note(&format!("RECOVER is broken at {broken} of {DEPLOYMENTS} deployments"));
+    Some(broken > 0)
+}
+
+fn play(record: &Arc<Record>, folder: &Path, trouble: bool) -> Option<bool> {
     let store = Store::start();
     store.write("config", "main", &configuration());
     let listeners: Vec<TcpListener> =
--- a/review/common-2/gateway.rs
+++ b/review/common-2/gateway.rs
@@ -137,9 +137,20 @@
     )
 }
 
-/// Registers an engine as it does itself.
+/// The registration of an engine, as it writes it itself.
 pub fn registration(service: &str, address: SocketAddr, zone: &str, slots: u32) -> String {
+    registration_born(service, address, zone, slots, 1_790_000_000_000)
+}
+
+/// The same for an engine that started at a time in Unix milliseconds.
+pub fn registration_born(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    born: u64,
+) -> String {
     format!(
-        r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","coldRemainingMs":0,"sequence":1,"born":1790000000000}}"#
+        r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","coldRemainingMs":0,"sequence":1,"born":{born}}}"#
     )
 }
