--- a/review/common-2/case_verdict.rs
+++ b/review/common-2/case_verdict.rs
@@ -227,6 +227,11 @@
             let open = self.open.load(Ordering::SeqCst);
             self.record.note(&format!("rank {rank} gets {id}, the group is open: {open}"));
             if !open {
+                // All ranks stall before they answer.
+                std::thread::sleep(STALL);
+                if ended() {
+                    return stream.shutdown(Shutdown::Both);
+                }
                 let refusal = format!(
                     "Request-Id: {id}\r\nNot-Executed: 1\r\nAt-Server: i-draft-{CRASHING}\r\n"
                 );
